Add the build, the design page, the shared types and the interfaces of the libraries

The interfaces come first so that the libraries can be written side by side. docs/design.md gives the requirements, the choices with the arithmetic that decided them, and who owns which state. Only the common library has code and tests so far.

--- /dev/null
+++ b/scripts/lint.sh
@@ -0,0 +1,16 @@
+#!/usr/bin/env bash
+# Checks formatting and runs the linter over the files given, or over all files.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+if [ $# -gt 0 ]; then files=("$@"); else
+  mapfile -t files < <(git ls-files --cached --others --exclude-standard 'source/*.cpp' 'source/*.h' 'tests/*.cpp' 'tests/*.h')
+fi
+clang-format --dry-run --Werror "${files[@]}"
+sources=()
+for it in "${files[@]}"; do [[ $it == *.cpp && -e $it ]] && sources+=("$it"); done
+# The compile database names ccache as launcher, which clang-tidy does not understand.
+mkdir -p build/lint
+sed 's#[^" ]*ccache ##' build/compile_commands.json >build/lint/compile_commands.json
+printf '%s\n' "${sources[@]}" |
+  xargs -P "${DAMASKLEDGE_JOBS:-$(nproc)}" -n 2 scripts/lint_cached.sh
+echo "lint: ${#files[@]} files clean"
