--- a/source/wire/wire.h
+++ b/source/wire/wire.h
@@ -29,11 +29,13 @@
   /// Connections that the upstream accepts, as announced.
   std::uint32_t connections = 0;
   bool draining = false;
+  /// Changes when the upstream's process is replaced, so that its limit starts cold again.
+  std::uint64_t instance = 0;
 
   bool operator==(const service_record&) const = default;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(service, port, slots, connections, draining);
+    archive(service, port, slots, connections, draining, instance);
   }
 };
 
@@ -61,12 +63,15 @@
   std::vector<service_record> services;
   /// Documents in force at this node.
   std::vector<document_version> documents;
+  /// Random identifier of the node's process; unlike the incarnation it does not change while
+  /// the process lives.
+  std::uint64_t process = 0;
 
   bool operator==(const member_record&) const = default;
   template <class Archive>
   void serialize(Archive& archive) {
     archive(name, data_centre, address, peer_port, caller_port, incarnation, state, services,
-            documents);
+            documents, process);
   }
 };
 
