--- a/source/common/common.cpp
+++ b/source/common/common.cpp
@@ -180,10 +180,15 @@
 }
 
 id128 random_id() {
-  id128 result;
-  Poco::RandomBuf source;
-  source.readFromDevice(reinterpret_cast<char*>(&result), sizeof result);
-  return result;
+  // The device is opened for each read, so a thread takes many identifiers at once.
+  thread_local std::array<id128, 32> pool;
+  thread_local std::size_t next = pool.size();
+  if (next == pool.size()) {
+    Poco::RandomBuf source;
+    source.readFromDevice(reinterpret_cast<char*>(pool.data()), sizeof pool);
+    next = 0;
+  }
+  return pool.at(next++);
 }
 
 digest256 sha256(std::string_view data) {
