--- a/source/wire/wire.h
+++ b/source/wire/wire.h
@@ -16,7 +16,7 @@
 /// Largest UDP payload in bytes; stays below the usual path MTU.
 inline constexpr std::size_t max_datagram_bytes = 1'200;
 /// Largest TCP frame in bytes: a platform object of a megabyte with its envelope.
-inline constexpr std::size_t max_frame_bytes = 2 * 1'024 * 1'024;
+inline constexpr std::size_t max_frame_bytes = 2'097'152;
 
 enum class member_state : std::uint8_t { up, draining, suspect, left, dead };
 
@@ -380,9 +380,19 @@
 /// @param secret cluster secret; the frame carries a truncated HMAC-SHA-256 under it.
 /// @param sender name of the sending node.
 /// @param reply_to endpoint to which answers go.
+/// @return the frame, or an empty string when it would exceed `max_frame_bytes`.
 std::string encode(std::string_view secret, const std::string& sender, const endpoint& reply_to,
                    const message& body);
 
+/// @return the bytes of the frame that `encode` makes, without making it.
+std::size_t frame_bytes(const std::string& sender, const endpoint& reply_to, const message& body);
+/// @return the bytes that the value adds to a frame as an element of a list.
+std::size_t element_bytes(const member_record& value);
+std::size_t element_bytes(const document_version& value);
+std::size_t element_bytes(const coordinator_record& value);
+std::size_t element_bytes(const shed_record& value);
+std::size_t element_bytes(const id128& value);
+
 /// Decodes a frame after its sizes and authenticator have been checked.
 /// @param secrets current and, during a rotation, previous cluster secret.
 /// @return the message, or a `frame_error` through LEAF.
