Add the shares library: token allocator and node buckets

The allocator counts available, outstanding and given tokens and the tokens that its predecessor may have left, and checks the sum with counts made anew at every decision. Time is credited before counts are lowered, so that room which appears now is not filled with time from before. After a start the whole burst counts as taken for transfer_ttl and clock_margin, because the predecessor may have given its tokens away, then the ceiling; when the predecessor had not settled, the whole burst counts until the term has settled.

settled_total is exact because every grant of a counting stream but the last is known to have arrived: an unanswered request is repeated under the same sequence number, and a node that gives one up starts a new stream (a new process value); the tokens of the old one end by time. A request that cannot be served is held for 20 ms, so that tokens that accrue or come from a donor reach it.

Public changes in shares.h: settings request_hold, use_window and prefetch_fraction are new; request_timeout is now the time after which a request is repeated (25 ms).

--- a/source/shares/shares.h
+++ b/source/shares/shares.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -19,13 +20,25 @@
 struct settings {
   milliseconds grant_ttl{500};
   milliseconds transfer_ttl{100};
+  /// Covers drift, and stops of a clock that last no longer than this in one `grant_ttl`.
   milliseconds clock_margin{100};
   double ceiling_fraction = 0.5;
   /// A node asks again at most this often for one account, unless it has run out.
   milliseconds request_interval{50};
   /// A node asks for what this time will use at its present rate of use.
   milliseconds request_horizon{150};
-  milliseconds request_timeout{100};
+  /// An unanswered request is sent again, with the same sequence number, after this time. It is
+  /// abandoned after `grant_ttl`, when any answer to it would have expired.
+  milliseconds request_timeout{25};
+  /// The allocator keeps a request that it cannot serve for this time, in case tokens accrue or
+  /// come from a donor, before it answers with no tokens. Shorter than `request_timeout`, so
+  /// that the wait for tokens does not cause repeated requests.
+  milliseconds request_hold{20};
+  /// Time constant of the averages of use.
+  milliseconds use_window{300};
+  /// A node that still has tokens asks for no more than this fraction of the account's burst,
+  /// so that tokens of small bursts do not lie idle on nodes.
+  double prefetch_fraction = 0.125;
 };
 
 /// Rate and burst of one account within one data centre (plan times weight).
@@ -69,8 +82,100 @@
   double exposure(const std::string& account, time_point now) const;
 
  private:
+  /// Tokens that count against the burst until `ends`.
+  struct lot {
+    std::uint32_t tokens = 0;
+    time_point ends;
+  };
+  /// A counting stream of one node process: sender name and identifier from its requests.
+  struct holder_key {
+    std::string sender;
+    std::uint64_t process = 0;
+
+    bool operator==(const holder_key&) const = default;
+  };
+  struct holder_key_hash {
+    std::size_t operator()(const holder_key& value) const noexcept {
+      return std::hash<std::string>{}(value.sender) ^ value.process;
+    }
+  };
+  struct holder {
+    std::uint64_t sequence = 0;
+    /// Tokens granted for `sequence`, sent again when the request is repeated.
+    std::uint32_t answered = 0;
+    std::uint64_t settled = 0;
+    /// Tokens whose time ended here before the node reported them as settled.
+    std::uint64_t written_off = 0;
+    std::uint64_t outstanding = 0;
+    std::deque<lot> lots;
+    time_point seen;
+    endpoint reply_to;
+    /// Tokens wanted by a request that is waiting for tokens; 0 when none waits.
+    std::uint32_t waiting = 0;
+    time_point waiting_since;
+  };
+  struct transfer {
+    std::uint64_t sequence = 0;
+    time_point sent;
+    std::uint32_t wanted = 0;
+  };
+  struct account_row {
+    limit current;
+    /// Largest limit of this term; the predecessor may have granted under it.
+    limit highest;
+    double available = 0;
+    time_point accrued_at;
+    std::uint64_t outstanding = 0;
+    /// No lot of a holder ends before this time.
+    time_point next_end = time_point::max();
+    std::unordered_map<holder_key, holder, holder_key_hash> holders;
+    /// Holders with a waiting request, in order of arrival.
+    std::deque<holder_key> queue;
+    std::deque<lot> given;
+    std::uint64_t given_tokens = 0;
+    /// Average of tokens wanted per second.
+    double use = 0;
+    time_point use_at;
+    std::map<std::string, transfer> transfers;
+    time_point next_transfer;
+    milliseconds transfer_backoff{0};
+    /// Highest transfer request seen from each data centre.
+    std::map<std::string, std::uint64_t> transfer_seen;
+  };
+
   settings options_;
   std::string data_centre_;
+  bool active_ = false;
+  term held_;
+  time_point started_;
+  bool previous_settled_ = false;
+  std::uint64_t next_sequence_ = 0;
+  std::vector<donor> donors_;
+  std::map<std::string, account_row> accounts_;
+
+  double ceiling(const limit& value) const;
+  double predecessor(const account_row& row, time_point now) const;
+  double room(const account_row& row, time_point now) const;
+  void accrue(account_row& row, time_point now) const;
+  static void release(account_row& row, time_point now);
+  void advance(account_row& row, time_point now) const;
+  static void settle(account_row& row, holder& who, std::uint64_t settled_total);
+  std::uint32_t grantable(const account_row& row, const holder& who, std::uint32_t wanted) const;
+  bool may_spend(const std::string& account, const account_row& row, std::uint32_t tokens,
+                 time_point now, std::string_view decision) const;
+  void answer(const std::string& account, account_row& row, holder& who, std::uint32_t tokens,
+              time_point now, std::vector<wire::outgoing>& out) const;
+  void serve(const std::string& account, account_row& row, time_point now,
+             std::vector<wire::outgoing>& out) const;
+  void ask_donors(const std::string& account, account_row& row, time_point now,
+                  std::vector<wire::outgoing>& out);
+  void reset(account_row& row, time_point now) const;
+
+  void handle(time_point now, const wire::incoming& from, const wire::token_request& request,
+              std::vector<wire::outgoing>& out);
+  void handle(time_point now, const wire::incoming& from, const wire::transfer_request& request,
+              std::vector<wire::outgoing>& out);
+  void handle(time_point now, const wire::transfer_grant& grant, std::vector<wire::outgoing>& out);
 };
 
 /// Result of taking a token at a node.
@@ -94,6 +199,8 @@
 
   /// Takes one token of `account`. Expired tokens are never used: the time is read again by
   /// the caller just before, so a paused process finds them expired.
+  /// Each `pending` result counts as one token wanted until the next grant of the account
+  /// arrives; a waiting caller takes again when a grant has arrived or its wait is over.
   take_result take(time_point now, const std::string& account);
   /// Requests for tokens that are due; called each tick and after a `pending` result.
   std::vector<wire::outgoing> tick(time_point now);
@@ -105,8 +212,55 @@
   std::uint32_t held(time_point now, const std::string& account) const;
 
  private:
+  struct lot {
+    std::uint32_t tokens = 0;
+    time_point expires;
+    std::uint64_t stream = 0;
+  };
+  struct flight {
+    std::uint64_t sequence = 0;
+    time_point first_sent;
+    time_point last_sent;
+    std::uint32_t wanted = 0;
+  };
+  struct bucket {
+    limit fleet;
+    /// In order of expiry, because grants are accepted in the order of their requests.
+    std::deque<lot> lots;
+    /// Identifies one run of counting. All grants of a stream but the last are known to have
+    /// arrived, so that the allocator's and the node's counts agree; a lost grant starts a new
+    /// stream, and what the old one held ends by time.
+    std::uint64_t stream = 0;
+    std::uint64_t settled = 0;
+    std::uint64_t reported = 0;
+    std::uint32_t waiting = 0;
+    /// Answers without tokens since the last one that brought some.
+    std::uint32_t denials = 0;
+    std::optional<flight> in_flight;
+    time_point last_sent;
+    /// Tokens taken per second, averaged.
+    double use = 0;
+    std::uint32_t taken = 0;
+    time_point use_at;
+  };
+
   settings options_;
   std::uint64_t process_;
+  std::uint64_t streams_ = 0;
+  std::uint64_t next_sequence_;
+  endpoint coordinator_;
+  term held_;
+  bool has_coordinator_ = false;
+  std::unordered_map<std::string, bucket> buckets_;
+
+  static void expire(bucket& row, time_point now);
+  static void settle(bucket& row, const lot& from, std::uint32_t tokens);
+  void start_stream(bucket& row);
+  void adopt(const endpoint& address, term held, const bucket* keep_stream);
+  void send(const std::string& account, bucket& row, std::uint64_t sequence, std::uint32_t wanted,
+            time_point now, std::vector<wire::outgoing>& out) const;
+  void refresh(const std::string& account, bucket& row, time_point now,
+               std::vector<wire::outgoing>& out);
 };
 
 } // namespace damaskledge::shares
