Add the client of the platform's object API

The coordinator, the documents and the claims need reads, conditional writes and watches whose results stay true when the platform is slow or loses answers.

http_client sends over kept-alive POCO sessions. It opens connections itself, so that a call that was never sent is told apart from one whose answer is lost. A lost write is resolved by reading the object and comparing its write_id; a conditional write that is not visible is sent once more. Failing endpoints are left alone for a backoff with full jitter. A token bucket bounds the calls of the process.

--- /dev/null
+++ b/source/platform/http_client.cpp
@@ -0,0 +1,637 @@
+#include <algorithm>
+#include <array>
+#include <atomic>
+#include <charconv>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <utility>
+
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
+#include <Poco/URI.h>
+#include <nlohmann/json.hpp>
+
+#include "platform/platform.h"
+
+namespace damaskledge::platform {
+
+namespace {
+
+using Poco::Net::HTTPClientSession;
+using Poco::Net::HTTPRequest;
+using Poco::Net::HTTPResponse;
+
+constexpr std::size_t kind_count = std::variant_size_v<call>;
+constexpr std::size_t result_count = std::variant_size_v<answer>;
+/// Connections kept per endpoint while nothing uses them.
+constexpr std::size_t max_idle_sessions = 8;
+/// Servers commonly close connections after 15 s or more without a request; reusing one
+/// that is about to be closed loses the answer.
+constexpr seconds max_idle_time{5};
+/// Sends of one write, including the one whose answer was lost.
+constexpr int max_write_sends = 2;
+
+/// What became of one HTTP exchange.
+enum class exchange_state : std::uint8_t {
+  /// Nothing was sent.
+  not_sent,
+  /// The request may have reached the server, but there is no usable answer.
+  lost,
+  /// `status` and the other members are valid.
+  answered
+};
+
+struct exchange_result {
+  exchange_state state = exchange_state::not_sent;
+  int status = 0;
+  /// Version of a valid ETag; 0 when there is none.
+  std::uint64_t version = 0;
+  milliseconds retry_after{0};
+  std::string body;
+  std::string reason;
+};
+
+struct request_parts {
+  std::string method;
+  std::string path;
+  std::string condition_name;
+  std::string condition_value;
+  std::string body;
+  milliseconds timeout{0};
+};
+
+struct idle_session {
+  std::unique_ptr<HTTPClientSession> session;
+  time_point since;
+};
+
+struct endpoint_state {
+  endpoint address;
+  backoff pause;
+  std::vector<idle_session> idle;
+};
+
+std::string object_path(std::string_view name) {
+  // Everything with a meaning in a URI except '/', which separates the parts of a name.
+  std::string encoded;
+  Poco::URI::encode(std::string(name), "?#:;+@&=", encoded);
+  return "/v1/objects/" + encoded;
+}
+
+std::string quoted(std::uint64_t version) {
+  return "\"" + std::to_string(version) + "\"";
+}
+
+/// @return the version of an ETag, or nothing when it is not a positive decimal number in
+/// double quotes.
+std::optional<std::uint64_t> parse_etag(const std::string& text) {
+  if (text.size() < 3 || text.front() != '"' || text.back() != '"') {
+    return std::nullopt;
+  }
+  std::uint64_t value = 0;
+  const char* first = text.data() + 1;
+  const char* last = text.data() + text.size() - 1;
+  const auto [end, ec] = std::from_chars(first, last, value);
+  if (ec != std::errc{} || end != last || value == 0) {
+    return std::nullopt;
+  }
+  return value;
+}
+
+/// @return the time of a Retry-After header in whole seconds; zero when there is none.
+milliseconds parse_retry_after(const HTTPResponse& response) {
+  const std::string text = response.get("Retry-After", "");
+  unsigned value = 0;
+  const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), value);
+  constexpr unsigned highest_seconds = 60;
+  if (ec != std::errc{} || end != text.data() + text.size()) {
+    return milliseconds{0};
+  }
+  return seconds{std::min(value, highest_seconds)};
+}
+
+std::string write_id_of(std::string_view content) {
+  const auto document = nlohmann::json::parse(content, nullptr, false);
+  if (!document.is_object()) {
+    return {};
+  }
+  const auto it = document.find("write_id");
+  return it != document.end() && it->is_string() ? it->get<std::string>() : std::string{};
+}
+
+bool refused(int status) {
+  return status == HTTPResponse::HTTP_TOO_MANY_REQUESTS || status >= 500;
+}
+
+milliseconds until(time_point then, time_point now) {
+  return std::max(milliseconds{1}, std::chrono::ceil<milliseconds>(then - now));
+}
+
+Poco::Timespan to_timespan(milliseconds value) {
+  return {std::max<Poco::Timespan::TimeDiff>(1, value.count()) * Poco::Timespan::MILLISECONDS};
+}
+
+/// Reads the body of a response within a size and a deadline.
+/// @return the reason why the body is unusable; empty when it is whole.
+std::string read_body(std::istream& in, Poco::Net::StreamSocket& socket,
+                      const HTTPResponse& response, time_point deadline, std::string& body) {
+  auto& buffer = *in.rdbuf();
+  while (buffer.sgetc() != std::istream::traits_type::eof()) {
+    const auto count = static_cast<std::size_t>(std::max<std::streamsize>(1, buffer.in_avail()));
+    if (body.size() + count > http_client::max_answer_bytes) {
+      return "the answer is larger than two megabytes";
+    }
+    const std::size_t before = body.size();
+    body.resize(before + count);
+    body.resize(before + static_cast<std::size_t>(buffer.sgetn(
+                             body.data() + before, static_cast<std::streamsize>(count))));
+    // The socket's timeout bounds one receive only, so a slow sender is cut off here.
+    const auto now = clock_type::now();
+    if (now >= deadline) {
+      return "the answer did not arrive in time";
+    }
+    socket.setReceiveTimeout(to_timespan(until(deadline, now)));
+  }
+  if (response.hasContentLength()) {
+    return static_cast<std::size_t>(response.getContentLength64()) == body.size()
+               ? std::string{}
+               : "the answer is truncated";
+  }
+  // Without a length, the end of the connection looks like the end of the body. No proper
+  // prefix of a JSON object is valid JSON.
+  return body.empty() || nlohmann::json::accept(body) ? std::string{} : "the answer is truncated";
+}
+
+} // namespace
+
+std::string_view to_string(call_kind kind) {
+  constexpr std::array<std::string_view, kind_count> names{"read", "write", "erase", "watch"};
+  return names.at(static_cast<std::size_t>(kind));
+}
+
+std::string_view to_string(call_result result) {
+  constexpr std::array<std::string_view, result_count> names{
+      "found", "absent", "conflict", "unchanged", "unavailable", "unresolved"};
+  return names.at(static_cast<std::size_t>(result));
+}
+
+class http_client::implementation {
+ public:
+  implementation(const std::vector<endpoint>& endpoints, milliseconds timeout,
+                 double calls_per_second, std::uint64_t seed, endpoint_predicate refuse)
+      : timeout_(timeout), refuse_(std::move(refuse)),
+        budget_(calls_per_second, clock_type::now()) {
+    for (const endpoint& it : endpoints) {
+      const std::string text = to_string(it);
+      endpoints_.push_back({it, backoff(hash64(text) ^ seed), {}});
+    }
+  }
+
+  answer execute(const call& what) {
+    answer result = make(what);
+    counts_[what.index() * result_count + result.index()].fetch_add(1);
+    return result;
+  }
+
+  void stop() {
+    const std::lock_guard lock(mutex_);
+    stopped_ = true;
+    for (HTTPClientSession* it : active_) {
+      try {
+        it->socket().shutdown();
+      } catch (const Poco::Exception&) { // NOLINT(bugprone-empty-catch)
+        // The peer has closed the connection already; the call ends by itself.
+      }
+    }
+  }
+
+  [[nodiscard]] std::vector<call_count> counts() const {
+    std::vector<call_count> result;
+    for (std::size_t it = 0; it < counts_.size(); ++it) {
+      if (const std::uint64_t n = counts_.at(it).load(); n > 0) {
+        result.push_back({static_cast<call_kind>(it / result_count),
+                          static_cast<call_result>(it % result_count), n});
+      }
+    }
+    return result;
+  }
+
+ private:
+  answer make(const call& what) {
+    {
+      const std::lock_guard lock(mutex_);
+      if (const duration wait = budget_.take(clock_type::now()); wait > duration{0}) {
+        return unavailable{"the calls per second allowed by platform_calls_per_second are used up",
+                           std::chrono::ceil<milliseconds>(wait)};
+      }
+    }
+    return std::visit([this](const auto& it) { return perform(it); }, what);
+  }
+
+  answer perform(const read& what) {
+    const exchange_result it = get(what.name, false);
+    return from_get(what.name, it);
+  }
+
+  answer perform(const watch& what) {
+    const exchange_result it = exchange_in_turn(
+        {"GET",
+         object_path(what.name) + "?watch=" + std::to_string(what.known_version) +
+             "&timeout_ms=" + std::to_string(std::max<std::int64_t>(0, what.timeout.count())),
+         "", "", "", what.timeout + watch_margin},
+        false, false);
+    if (it.state == exchange_state::answered && it.status == HTTPResponse::HTTP_NOT_MODIFIED) {
+      return unchanged{};
+    }
+    answer result = from_get(what.name, it);
+    if (const auto* value = std::get_if<found>(&result);
+        value != nullptr && value->value.version <= what.known_version) {
+      // A replica of the platform that lags. The caller would otherwise ask again at once.
+      return unavailable{"the watch returned a version that is not newer", timeout_};
+    }
+    return result;
+  }
+
+  answer perform(const erase& what) {
+    const exchange_result it = exchange_in_turn(
+        {"DELETE", object_path(what.name), "If-Match", quoted(what.expected_version), "", timeout_},
+        false, false);
+    if (it.state == exchange_state::lost) {
+      const exchange_result now = get(what.name, true);
+      if (now.state == exchange_state::answered && now.status == HTTPResponse::HTTP_NOT_FOUND) {
+        return absent{};
+      }
+      if (now.state == exchange_state::answered && now.status == HTTPResponse::HTTP_OK &&
+          now.version > what.expected_version) {
+        return conflict{{what.name, now.version, now.body}};
+      }
+      return unresolved{it.reason};
+    }
+    if (it.state == exchange_state::not_sent || refused(it.status)) {
+      return unavailable{it.reason, it.retry_after};
+    }
+    switch (it.status) {
+    case HTTPResponse::HTTP_OK:
+    case HTTPResponse::HTTP_NO_CONTENT:
+    case HTTPResponse::HTTP_NOT_FOUND:
+      return absent{};
+    case HTTPResponse::HTTP_PRECONDITION_FAILED:
+      return conflict{current(what.name)};
+    default:
+      return unavailable{
+          "the platform answered the removal with status " + std::to_string(it.status), timeout_};
+    }
+  }
+
+  answer perform(const write& what) {
+    const std::string own_id = write_id_of(what.content);
+    std::string reason;
+    for (int sends = 0; sends < max_write_sends; ++sends) {
+      const bool again = sends > 0;
+      const exchange_result it = put(what, again);
+      if (it.state == exchange_state::answered) {
+        if (it.status == HTTPResponse::HTTP_OK || it.status == HTTPResponse::HTTP_CREATED) {
+          if (it.version > what.expected_version) {
+            return found{{what.name, it.version, what.content}};
+          }
+          reason = "the answer to the write has a version that is not newer";
+        } else if (it.status == HTTPResponse::HTTP_PRECONDITION_FAILED) {
+          object now = current(what.name);
+          if (now.version > 0 && !own_id.empty() && write_id_of(now.content) == own_id) {
+            return found{std::move(now)};
+          }
+          return conflict{std::move(now)};
+        } else if (again) {
+          // The first copy of the write may still take effect.
+          return unresolved{it.reason};
+        } else if (refused(it.status)) {
+          return unavailable{it.reason, it.retry_after};
+        } else {
+          return unavailable{
+              "the platform answered the write with status " + std::to_string(it.status), timeout_};
+        }
+      } else if (it.state == exchange_state::not_sent) {
+        if (again) {
+          return unresolved{it.reason};
+        }
+        return unavailable{it.reason, it.retry_after};
+      } else {
+        reason = it.reason;
+      }
+
+      const exchange_result seen = get(what.name, true);
+      if (seen.state != exchange_state::answered ||
+          (seen.status != HTTPResponse::HTTP_OK && seen.status != HTTPResponse::HTTP_NOT_FOUND)) {
+        return unresolved{reason + "; reading it back: " + seen.reason};
+      }
+      if (seen.status == HTTPResponse::HTTP_OK && seen.version > what.expected_version) {
+        object now{what.name, seen.version, seen.body};
+        if (!own_id.empty() && write_id_of(now.content) == own_id) {
+          return found{std::move(now)};
+        }
+        return conflict{std::move(now)};
+      }
+    }
+    return unresolved{reason};
+  }
+
+  static answer from_get(const std::string& name, const exchange_result& it) {
+    if (it.state != exchange_state::answered || refused(it.status)) {
+      return unavailable{it.reason, it.retry_after};
+    }
+    switch (it.status) {
+    case HTTPResponse::HTTP_OK:
+      return found{{name, it.version, it.body}};
+    case HTTPResponse::HTTP_NOT_FOUND:
+      return absent{};
+    default:
+      return unavailable{"the platform answered with status " + std::to_string(it.status),
+                         backoff::highest_bound};
+    }
+  }
+
+  exchange_result put(const write& what, bool follow_up) {
+    request_parts parts{"PUT", object_path(what.name), "If-None-Match",
+                        "*",   what.content,           timeout_};
+    if (what.expected_version > 0) {
+      parts.condition_name = "If-Match";
+      parts.condition_value = quoted(what.expected_version);
+    }
+    return exchange_in_turn(parts, false, follow_up);
+  }
+
+  exchange_result get(const std::string& name, bool follow_up) {
+    return exchange_in_turn({"GET", object_path(name), "", "", "", timeout_}, true, follow_up);
+  }
+
+  /// @return the object as it is now; version 0 when it cannot be read or does not exist.
+  object current(const std::string& name) {
+    const exchange_result it = get(name, true);
+    if (it.state == exchange_state::answered && it.status == HTTPResponse::HTTP_OK) {
+      return {name, it.version, it.body};
+    }
+    return {name, 0, {}};
+  }
+
+  /// Tries the endpoints in turn, from the one that answered last.
+  /// @param repeatable goes on to the next endpoint after a lost answer too.
+  /// @param follow_up part of a call that has been sent already: it is charged to the
+  /// budget without waiting, and does not wait for the backoff of an endpoint either.
+  exchange_result exchange_in_turn(const request_parts& parts, bool repeatable, bool follow_up) {
+    std::size_t first = 0;
+    {
+      const std::lock_guard lock(mutex_);
+      first = preferred_;
+      if (follow_up) {
+        budget_.charge(clock_type::now());
+      }
+    }
+    exchange_result result;
+    result.reason = "no platform endpoint is configured";
+    std::optional<time_point> earliest;
+    for (std::size_t it = 0; it < endpoints_.size(); ++it) {
+      const std::size_t index = (first + it) % endpoints_.size();
+      endpoint_state& target = endpoints_[index];
+      const time_point now = clock_type::now();
+      {
+        const std::lock_guard lock(mutex_);
+        if (stopped_) {
+          result.reason = "the platform client is stopped";
+          return result;
+        }
+        const time_point retry_at = target.pause.retry_at();
+        if (!follow_up && retry_at > now) {
+          earliest = earliest ? std::min(*earliest, retry_at) : retry_at;
+          result.reason =
+              "the platform at " + to_string(target.address) + " failed and is not tried again yet";
+          continue;
+        }
+      }
+      if (refuse_ && refuse_(target.address)) {
+        result.reason = "no connection to " + to_string(target.address) + ": cut for a test";
+        note_failure(target, milliseconds{0}, earliest);
+        continue;
+      }
+      exchange_result answered = exchange(target, parts);
+      if (answered.state == exchange_state::answered && refuse_ && refuse_(target.address)) {
+        answered = {exchange_state::lost,
+                    0,
+                    0,
+                    milliseconds{0},
+                    "",
+                    "no answer from " + to_string(target.address) + ": cut for a test"};
+      }
+      if (answered.state == exchange_state::answered && !refused(answered.status)) {
+        const std::lock_guard lock(mutex_);
+        target.pause.succeeded();
+        preferred_ = index;
+        return answered;
+      }
+      const milliseconds asked = answered.retry_after;
+      std::optional<time_point> retry_at;
+      note_failure(target, asked, retry_at);
+      answered.retry_after = until(*retry_at, clock_type::now());
+      if (answered.state == exchange_state::answered) {
+        // A refusal speaks for the whole platform; asking elsewhere would evade its limit.
+        return answered;
+      }
+      if (answered.state == exchange_state::lost && !repeatable) {
+        return answered;
+      }
+      earliest = earliest ? std::min(*earliest, *retry_at) : *retry_at;
+      result = std::move(answered);
+    }
+    result.retry_after = earliest ? until(*earliest, clock_type::now()) : backoff::highest_bound;
+    return result;
+  }
+
+  void note_failure(endpoint_state& target, milliseconds asked,
+                    std::optional<time_point>& earliest) {
+    const std::lock_guard lock(mutex_);
+    const time_point retry_at = target.pause.failed(clock_type::now(), asked);
+    earliest = earliest ? std::min(*earliest, retry_at) : retry_at;
+  }
+
+  /// @return a kept-alive session that the server has not closed, or nothing.
+  std::unique_ptr<HTTPClientSession> take_idle(endpoint_state& target) {
+    const std::lock_guard lock(mutex_);
+    const time_point now = clock_type::now();
+    while (!target.idle.empty()) {
+      idle_session it = std::move(target.idle.back());
+      target.idle.pop_back();
+      // An idle connection is readable only when the server has closed it or sent
+      // something that nobody asked for.
+      if (now - it.since <= max_idle_time &&
+          !it.session->socket().poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ)) {
+        return std::move(it.session);
+      }
+    }
+    return nullptr;
+  }
+
+  /// One HTTP exchange with one endpoint. Never throws.
+  exchange_result exchange(endpoint_state& target, const request_parts& parts) {
+    exchange_result result;
+    std::unique_ptr<HTTPClientSession> session;
+    const time_point deadline = clock_type::now() + parts.timeout;
+    try {
+      session = take_idle(target);
+      if (!session) {
+        // The connection is opened here and not by the session, so that "nothing was sent"
+        // is known, and so that the session cannot send a request again by itself.
+        Poco::Net::StreamSocket socket;
+        socket.connect(Poco::Net::SocketAddress(target.address.address, target.address.port),
+                       to_timespan(std::min(parts.timeout, timeout_)));
+        socket.setNoDelay(true);
+        session = std::make_unique<HTTPClientSession>(socket);
+        session->setKeepAlive(true);
+        session->setKeepAliveTimeout(Poco::Timespan(1, 0, 0, 0, 0));
+      }
+    } catch (const Poco::Exception& error) {
+      result.reason = "no connection to " + to_string(target.address) + ": " + error.displayText();
+      return result;
+    }
+    if (!activate(session.get())) {
+      result.reason = "the platform client is stopped";
+      return result;
+    }
+    bool reusable = false;
+    try {
+      result.state = exchange_state::lost;
+      session->socket().setSendTimeout(to_timespan(parts.timeout));
+      session->socket().setReceiveTimeout(to_timespan(parts.timeout));
+      HTTPRequest request(parts.method, parts.path, HTTPRequest::HTTP_1_1);
+      request.setHost(to_string(target.address));
+      request.setKeepAlive(true);
+      if (!parts.condition_name.empty()) {
+        request.set(parts.condition_name, parts.condition_value);
+      }
+      if (parts.method == "PUT") {
+        request.setContentType("application/json");
+        request.setContentLength64(static_cast<Poco::Int64>(parts.body.size()));
+      }
+      std::ostream& out = session->sendRequest(request);
+      out.write(parts.body.data(), static_cast<std::streamsize>(parts.body.size()));
+      out.flush();
+      HTTPResponse response;
+      std::istream& in = session->receiveResponse(response);
+      result.reason = read_body(in, session->socket(), response, deadline, result.body);
+      if (result.reason.empty()) {
+        accept(response, result);
+        reusable = result.state == exchange_state::answered && response.getKeepAlive() &&
+                   (response.hasContentLength() || response.getChunkedTransferEncoding() ||
+                    result.status == HTTPResponse::HTTP_NOT_MODIFIED ||
+                    result.status == HTTPResponse::HTTP_NO_CONTENT);
+      }
+    } catch (const Poco::Exception& error) {
+      result.reason = error.displayText();
+    } catch (const std::exception& error) {
+      result.reason = error.what();
+    }
+    if (result.state == exchange_state::lost) {
+      result.reason = "no usable answer from " + to_string(target.address) + ": " + result.reason;
+    }
+    release(target, std::move(session), reusable);
+    return result;
+  }
+
+  /// Checks status and ETag of a complete response.
+  static void accept(const HTTPResponse& response, exchange_result& result) {
+    result.status = response.getStatus();
+    result.retry_after = parse_retry_after(response);
+    if (refused(result.status)) {
+      result.reason = "the platform answered with status " + std::to_string(result.status);
+    }
+    const bool needs_version =
+        (result.status == HTTPResponse::HTTP_OK || result.status == HTTPResponse::HTTP_CREATED);
+    const std::string etag = response.get("ETag", "");
+    if (const auto version = parse_etag(etag)) {
+      result.version = *version;
+    } else if (needs_version) {
+      result.reason = "the ETag is not a positive decimal number in double quotes";
+      return;
+    }
+    result.state = exchange_state::answered;
+  }
+
+  bool activate(HTTPClientSession* session) {
+    const std::lock_guard lock(mutex_);
+    if (stopped_) {
+      return false;
+    }
+    active_.insert(session);
+    return true;
+  }
+
+  void release(endpoint_state& target, std::unique_ptr<HTTPClientSession> session, bool reusable) {
+    const std::lock_guard lock(mutex_);
+    active_.erase(session.get());
+    if (reusable && !stopped_ && target.idle.size() < max_idle_sessions) {
+      target.idle.push_back({std::move(session), clock_type::now()});
+    }
+  }
+
+  const milliseconds timeout_;
+  const endpoint_predicate refuse_;
+  /// Guards all members below except the counters; never held during input or output.
+  std::mutex mutex_;
+  call_budget budget_;
+  std::vector<endpoint_state> endpoints_;
+  std::size_t preferred_ = 0;
+  bool stopped_ = false;
+  std::set<HTTPClientSession*> active_;
+  std::array<std::atomic<std::uint64_t>, kind_count * result_count> counts_{};
+};
+
+http_client::http_client(std::unique_ptr<implementation> value)
+    : implementation_(std::move(value)) {}
+
+http_client::~http_client() = default;
+
+answer http_client::execute(const call& what) {
+  return implementation_->execute(what);
+}
+
+void http_client::stop() {
+  implementation_->stop();
+}
+
+std::vector<call_count> http_client::counts() const {
+  return implementation_->counts();
+}
+
+http_client::builder& http_client::builder::endpoints(std::vector<endpoint> value) {
+  endpoints_ = std::move(value);
+  return *this;
+}
+
+http_client::builder& http_client::builder::timeout(milliseconds value) {
+  timeout_ = value;
+  return *this;
+}
+
+http_client::builder& http_client::builder::calls_per_second(double value) {
+  calls_per_second_ = value;
+  return *this;
+}
+
+http_client::builder& http_client::builder::seed(std::uint64_t value) {
+  seed_ = value;
+  return *this;
+}
+
+http_client::builder& http_client::builder::refuse(endpoint_predicate value) {
+  refuse_ = std::move(value);
+  return *this;
+}
+
+std::unique_ptr<http_client> http_client::builder::build() const {
+  return std::unique_ptr<http_client>(new http_client(
+      std::make_unique<implementation>(endpoints_, timeout_, calls_per_second_, seed_, refuse_)));
+}
+
+} // namespace damaskledge::platform
