--- a/source/platform/platform.h
+++ b/source/platform/platform.h
@@ -182,7 +182,7 @@
 ///   positive decimal number in double quotes count as lost.
 class http_client {
  public:
-  static constexpr std::size_t max_answer_bytes = 2U * 1'024 * 1'024;
+  static constexpr std::size_t max_answer_bytes = 2'097'152;
   /// Added to a watch's own timeout, for the transfer of the answer.
   static constexpr milliseconds watch_margin{1'000};
 
