--- a/source/config/config.h
+++ b/source/config/config.h
@@ -13,6 +13,14 @@
 
 namespace damaskledge::config {
 
+/// All errors of the parsed texts, in the order of the checks. Functions that fail with a
+/// `parse_error` carry the first one as `parse_error` and all of them as this.
+struct parse_errors {
+  std::vector<parse_error> all;
+
+  bool operator==(const parse_errors&) const = default;
+};
+
 /// What a plan may use of a route and how the route behaves.
 struct route {
   std::string name;
@@ -36,6 +44,23 @@
   bool operator==(const route&) const = default;
 };
 
+/// Builds a `route`. It checks nothing; parsing does.
+class route_builder {
+ public:
+  route_builder(std::string name, std::string service, std::string method, std::string path);
+  route_builder& with_importance(damaskledge::importance value);
+  /// @param operation_field JSON pointer into the body; empty for the Idempotency-Key header.
+  route_builder& non_idempotent(std::string operation_field = {});
+  route_builder& open();
+  route_builder& with_deadline(milliseconds value);
+  /// Adds a service that the route's chain of inner calls reaches.
+  route_builder& calling(std::string service);
+  [[nodiscard]] const route& build() const { return value_; }
+
+ private:
+  route value_;
+};
+
 /// What an account of this plan gets over the whole fleet.
 struct plan {
   std::string name;
@@ -113,6 +138,24 @@
 /// @return one line for each change from `before` to `after`, for operators.
 std::vector<std::string> differences(const lists& before, const lists& after);
 
+/// @return one line for each change of a key from `before` to `after`; digests are not shown.
+std::vector<std::string> differences(const keys& before, const keys& after);
+
+/// Names of the two documents.
+inline constexpr std::string_view lists_document = "lists";
+inline constexpr std::string_view keys_document = "keys";
+
+/// @param name `lists_document` or `keys_document`.
+/// @param document stored form of the lists or keys, as `to_document` gives it.
+/// @param write_id identifier that is unique for each write.
+/// @return content of the platform object: {"write_id": ..., "<name>": <document>}.
+std::string to_object_content(std::string_view name, std::string_view document,
+                              std::string_view write_id);
+/// @param name `lists_document` or `keys_document`.
+/// @return the stored form of the document inside the content of its platform object, or a
+/// `parse_error` through LEAF. The document itself is not checked.
+leaf::result<std::string> document_in_object(std::string_view name, std::string_view content);
+
 /// Settings of a node, with defaults. docs/operators.md lists them.
 struct node_settings {
   std::string name;
@@ -180,10 +223,24 @@
   bool operator==(const node_settings&) const = default;
 };
 
-/// Parses and checks a node's settings.
-/// @return the settings, or a `parse_error` through LEAF.
+/// Parses and checks a node's settings. Durations are strings with a unit: "500ms", "4h".
+/// @return the settings, or every `parse_error` found, the first carried by LEAF.
 leaf::result<node_settings> parse_node_settings(std::string_view text, std::string_view file);
 
+/// One row of the settings' documentation.
+struct setting_description {
+  std::string name;
+  /// "string", "list of strings", "integer", "number" or "duration".
+  std::string kind;
+  std::string default_value;
+  std::string range;
+  std::string meaning;
+  bool required = false;
+};
+
+/// @return every setting of `node_settings`, from the same table that parsing checks against.
+std::vector<setting_description> node_setting_descriptions();
+
 /// Reads a whole file.
 /// @return its content, or an `environment_error` through LEAF.
 leaf::result<std::string> read_file(const std::string& path);
