--- a/source/config/config.h
+++ b/source/config/config.h
@@ -241,6 +241,14 @@
 /// @return every setting of `node_settings`, from the same table that parsing checks against.
 std::vector<setting_description> node_setting_descriptions();
 
+/// @return the duration of "<integer><unit>" with the units ms, s, m, h and d, or nothing.
+std::optional<milliseconds> parse_duration(std::string_view text);
+/// @return the shortest exact text in ms, s, m or h.
+std::string format_duration(milliseconds value);
+
+/// @return the endpoint of "<IPv4 address>:<port>" with a port above 0, or nothing.
+std::optional<endpoint> parse_endpoint(std::string_view text);
+
 /// Reads a whole file.
 /// @return its content, or an `environment_error` through LEAF.
 leaf::result<std::string> read_file(const std::string& path);
--- a/source/config/located_json.h
+++ b/source/config/located_json.h
@@ -4,7 +4,6 @@
 #pragma once
 
 #include <cstdint>
-#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -41,11 +40,6 @@
 /// are cut.
 std::string describe(const nlohmann::json& value);
 
-/// @return the duration of "<integer><unit>" with the units ms, s, m, h and d, or nothing.
-std::optional<milliseconds> parse_duration(std::string_view text);
-/// @return the shortest exact text in ms, s, m or h.
-std::string format_duration(milliseconds value);
-
 /// @return true for 1 to 64 letters, digits, '.', '_' and '-', starting with a letter or digit.
 bool is_name(std::string_view text);
 
--- a/source/config/settings.cpp
+++ b/source/config/settings.cpp
@@ -181,22 +181,6 @@
          address.toString() == text;
 }
 
-std::optional<endpoint> parse_endpoint(std::string_view text) {
-  const auto colon = text.rfind(':');
-  if (colon == std::string_view::npos) {
-    return std::nullopt;
-  }
-  endpoint result;
-  result.address = text.substr(0, colon);
-  const std::string_view port = text.substr(colon + 1);
-  const auto [end, ec] = std::from_chars(port.data(), port.data() + port.size(), result.port);
-  if (ec != std::errc() || end != port.data() + port.size() || result.port == 0 ||
-      !is_address(result.address)) {
-    return std::nullopt;
-  }
-  return result;
-}
-
 constexpr const char* endpoint_remedy =
     "write \"<IPv4 address>:<port>\", for example \"10.0.0.1:8082\"";
 
@@ -311,6 +295,22 @@
 
 } // namespace
 
+std::optional<endpoint> parse_endpoint(std::string_view text) {
+  const auto colon = text.rfind(':');
+  if (colon == std::string_view::npos) {
+    return std::nullopt;
+  }
+  endpoint result;
+  result.address = text.substr(0, colon);
+  const std::string_view port = text.substr(colon + 1);
+  const auto [end, ec] = std::from_chars(port.data(), port.data() + port.size(), result.port);
+  if (ec != std::errc() || end != port.data() + port.size() || result.port == 0 ||
+      !is_address(result.address)) {
+    return std::nullopt;
+  }
+  return result;
+}
+
 leaf::result<node_settings> parse_node_settings(std::string_view text, std::string_view file) {
   std::vector<parse_error> errors;
   node_settings result;
