Add routing: target limits, choice, waiting queue, context tokens and budgets

The node needs a limit per target, a choice between targets, a queue for calls without room, signed contexts for inner calls and bounded retries.

Limit: slow start doubles per round trip up to the even division of the slots among the calling nodes, then a gradient on smoothed latency with additive increase applies. A node may borrow up to 4 times its even division while the target shows no queueing; unused borrowed room is given back at 10 % a second. Latency alone does not lower the limit below 0.75 of the even division, because a slow target needs its slots most; refusals and timeouts do, once per round trip. The minimum latency rises only while the limit is not above the even division, so that a lasting queue is not taken for the target's own speed.

--- a/source/routing/routing.h
+++ b/source/routing/routing.h
@@ -3,13 +3,16 @@
 /// tokens of inner calls and attempt budgets.
 #pragma once
 
+#include <array>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <random>
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "common/common.h"
@@ -28,8 +31,20 @@
   milliseconds exclusion{250};
   milliseconds exclusion_max{8'000};
   /// The smallest latency seen is let rise by this fraction per second, so that a lasting
-  /// change of the target's speed is learned.
+  /// change of the target's speed is learned. It rises only while the limit is not above the
+  /// even division of the slots.
   double minimum_decay = 0.02;
+  /// A node's limit may reach this multiple of its even division of the slots while the target
+  /// shows no queueing. At 4, a quarter of the calling nodes can use a whole target; the even
+  /// division alone would leave three quarters of its slots idle then. Slow start stops at the
+  /// even division, so that all nodes together cannot flood a cold target.
+  double borrow_factor = 4.0;
+  /// Latency alone does not lower the limit below this fraction of the even division: within it
+  /// the announced slots rule out queueing by callers, and a slow target needs its slots most.
+  /// Refusals and timeouts still do, because announced slots can be wrong.
+  double latency_floor = 0.75;
+  /// Fraction per second by which a limit above the even division falls while it is unused.
+  double unused_decay = 0.1;
 };
 
 /// A target as announced through membership.
@@ -62,6 +77,8 @@
 /// Target table of one node. Not thread-safe.
 class target_table {
  public:
+  /// @param seed distinct for each node and stable over its life (for example a hash of its
+  /// name): it also selects the node's subset of targets.
   target_table(settings options, std::string data_centre, std::uint64_t seed);
 
   /// Replaces the announced targets; state of targets that stay is kept.
@@ -81,6 +98,8 @@
   std::optional<choice> acquire(time_point now, const std::string& service,
                                 const std::vector<std::string>& excluded);
   /// Gives the slot back and updates the limit.
+  /// @param latency time since the attempt was sent, also for attempts that were not answered;
+  /// only the latency of answered attempts counts as service latency.
   void release(time_point now, const std::string& id, attempt_end end, duration latency);
   /// @return true when the service has at least one target that is not draining or excluded.
   bool has_target(time_point now, const std::string& service) const;
@@ -101,12 +120,72 @@
   std::vector<target_state> snapshot(time_point now) const;
 
  private:
+  /// Row of one target. Latencies are in seconds.
+  struct target_row {
+    target_record record;
+    /// False for a target that left while requests were in flight.
+    bool announced = false;
+    bool local = false;
+    /// False when the target is outside this node's subset.
+    bool in_subset = true;
+    std::uint32_t connections = 1;
+    /// Announced slots times headroom divided by the nodes that call the target.
+    double even_division = 0;
+    double cap = 0;
+
+    double limit = 0;
+    /// Part of 1 added before the limit is rounded down. It is a hash of node and target: with
+    /// few slots per node, rounding down on every node would waste up to a quarter of them.
+    double rounding = 0;
+    std::uint32_t in_flight = 0;
+    bool slow_start = true;
+    bool must_be_cold = true;
+    /// Attempts sent before this time say nothing about the present process.
+    time_point cold_since{};
+    double smoothed = 0;
+    double minimum = 0;
+    time_point measured_at{};
+
+    time_point round_start{};
+    std::uint32_t round_samples = 0;
+    double round_sum = 0;
+    std::uint32_t round_peak = 0;
+    time_point decreased_at{};
+    time_point last_used_fully{};
+
+    /// Consecutive failures; 0 for a target that is not excluded or on trial.
+    std::uint32_t failures = 0;
+    bool connect_failure = false;
+    time_point failed_at{};
+    time_point excluded_until{};
+  };
+  using row_index = std::size_t;
+
+  void make_cold(time_point now, target_row& row) const;
+  void set_shares(const std::string& service, std::uint32_t calling_nodes);
+  static std::uint32_t whole_limit(const target_row& row);
+  bool has_room(time_point now, const target_row& row) const;
+  bool is_excluded(time_point now, const target_row& row) const;
+  void exclude(time_point now, target_row& row, bool connect_failure) const;
+  void end_round(time_point now, target_row& row) const;
+  void decrease(time_point now, target_row& row, time_point sent) const;
+  void decay_unused(time_point now, target_row& row, double elapsed) const;
+  bool better(time_point now, const target_row& a, const target_row& b) const;
+  void remove_departed();
+  void index_services();
+
   settings options_;
   std::string data_centre_;
+  std::uint64_t seed_;
+  std::minstd_rand random_;
+  time_point last_tick_{};
+  std::vector<target_row> rows_;
+  std::unordered_map<std::string, row_index> index_;
+  std::unordered_map<std::string, std::vector<row_index>> by_service_;
+  std::unordered_set<std::string> known_services_;
+  std::vector<row_index> candidates_;
 };
 
-/// Waiting calls of one node, per service, ordered by importance. Not thread-safe; the node
-/// parks the connection's thread on `ticket`.
 struct queue_settings {
   std::uint32_t max_length = 256;
   milliseconds max_wait{20};
@@ -115,6 +194,8 @@
   milliseconds interval{100};
 };
 
+/// Waiting calls of one node, per service, ordered by importance. Not thread-safe; the node
+/// parks the connection's thread on `ticket`.
 class waiting_queue {
  public:
   explicit waiting_queue(queue_settings options);
@@ -135,9 +216,35 @@
   /// @return false when the ticket is no longer queued.
   bool remove(ticket which);
   std::uint32_t length(const std::string& service) const;
+  /// @return true while the service's queue serves the newest first.
+  bool overloaded(const std::string& service) const;
 
  private:
+  struct waiting_call {
+    time_point since;
+    time_point expires;
+  };
+  struct service_queue {
+    /// One map per importance class; tickets increase, so the first is the oldest.
+    std::array<std::map<ticket, waiting_call>, 4> classes;
+    std::uint32_t length = 0;
+    time_point interval_start{};
+    /// Smallest age of the oldest call seen in the interval.
+    duration shortest = duration::max();
+    bool overloaded = false;
+  };
+  struct location {
+    std::string service;
+    std::size_t importance_class = 0;
+  };
+
+  void observe(time_point now, service_queue& queue) const;
+  void erase(service_queue& queue, std::size_t importance_class, ticket which);
+
   queue_settings options_;
+  ticket last_ticket_ = 0;
+  std::unordered_map<std::string, service_queue> services_;
+  std::unordered_map<ticket, location> locations_;
 };
 
 /// What a context token says of the request that it belongs to.
@@ -158,24 +265,56 @@
   bool operator==(const context&) const = default;
 };
 
-/// @return the token: base64url of the fields and of an HMAC-SHA-256 under `secret`.
+/// Longest token that is accepted or issued.
+inline constexpr std::size_t max_token_length = 1'536;
+
+/// @return the token: base64url of the fields and of an HMAC-SHA-256 under `secret`, truncated to
+/// 128 bits. Empty when a text field is longer than 255 bytes or retries or depth exceed 255.
 std::string encode_context(const context& value, std::string_view secret);
 /// @return the context, or nothing when the signature does not match or a field is malformed.
 std::optional<context> decode_context(std::string_view token,
                                       const std::vector<std::string>& secrets);
 
+struct context_settings {
+  /// Contexts with a budget, and ended contexts, kept at most.
+  std::size_t max_entries = 65'536;
+};
+
 /// Contexts presented to this node, what remains of their attempt budgets, and those that
 /// have ended. Not thread-safe.
 class context_table {
  public:
-  /// @return retries for an inner call and its subtree: half of what remains, rounded up;
-  /// nothing when the context has ended.
-  std::optional<std::uint32_t> begin_call(time_point now, const context& value);
+  explicit context_table(context_settings options = {});
+
+  /// @param lifetime time until the context's deadline; its budget is kept that long. The default
+  /// is above any route's deadline in use.
+  /// @return retries for an inner call and its subtree: half of what remains, rounded up, or 0
+  /// for a context that the full table cannot take; nothing when the context has ended.
+  std::optional<std::uint32_t> begin_call(time_point now, const context& value,
+                                          duration lifetime = seconds{120});
   /// An inner call ended; `unspent` goes back only when no subtree can still spend it.
   void end_call(const id128& context_id, std::uint32_t unspent);
   void ended(time_point now, const id128& context_id, duration keep);
   bool has_ended(const id128& context_id) const;
   void tick(time_point now);
+  /// @return contexts with a budget and ended contexts held.
+  std::size_t size() const;
+
+ private:
+  struct budget {
+    std::uint32_t initial = 0;
+    std::uint32_t remaining = 0;
+    /// Given to inner calls and not returned.
+    std::uint32_t granted = 0;
+    time_point expires{};
+  };
+
+  context_settings options_;
+  std::unordered_map<id128, budget, id128_hash> budgets_;
+  std::unordered_map<id128, time_point, id128_hash> ended_;
+  /// Ended contexts in the order of arrival; the oldest gives way when the table is full.
+  std::deque<id128> ended_order_;
+  time_point last_sweep_{};
 };
 
 } // namespace damaskledge::routing
--- /dev/null
+++ b/tests/routing/target_table_test.cpp
@@ -0,0 +1,279 @@
+#include <algorithm>
+#include <set>
+
+#include <doctest/doctest.h>
+
+#include "routing/routing.h"
+
+using namespace damaskledge;
+using namespace damaskledge::routing;
+
+namespace {
+
+constexpr time_point start{seconds{1'000}};
+
+target_record record(const std::string& id, const std::string& dc = "a", std::uint32_t slots = 40,
+                     std::uint32_t connections = 400, std::uint64_t incarnation = 1) {
+  return {id, "s", dc, {"127.0.0.1", 9'000}, slots, connections, false, incarnation};
+}
+
+target_table::target_state state_of(const target_table& table, time_point now,
+                                    const std::string& id) {
+  for (const auto& it : table.snapshot(now)) {
+    if (it.id == id) {
+      return it;
+    }
+  }
+  FAIL("target " << id << " is not in the table");
+  return {};
+}
+
+/// Fills the target's limit and answers everything, some round trips long.
+void use_fully(target_table& table, time_point& now, int rounds, milliseconds latency) {
+  for (int it = 0; it < rounds; ++it) {
+    std::vector<std::string> taken;
+    while (const auto choice = table.acquire(now, "s", {})) {
+      taken.push_back(choice->id);
+    }
+    now += latency;
+    for (const auto& id : taken) {
+      table.release(now, id, attempt_end::answered, latency);
+    }
+    table.tick(now);
+  }
+}
+
+} // namespace
+
+TEST_CASE("local targets come first, others only when the local ones have no room") {
+  // Guards against cross-data-centre latency while local targets are free.
+  target_table table({}, "a", 1);
+  table.set_targets(start, {record("l"), record("r", "b")}, 2);
+  for (int it = 0; it < 4; ++it) {
+    CHECK(table.acquire(start, "s", {})->id == "l");
+  }
+  CHECK(table.acquire(start, "s", {})->id == "r");
+  CHECK(table.acquire(start, "s", {"l"})->id == "r");
+  CHECK_FALSE(table.acquire(start, "s", {"l", "r"}));
+  CHECK_FALSE(table.acquire(start, "unknown", {}));
+  CHECK_FALSE(table.knows_service("unknown"));
+  table.set_targets(start, {}, 2);
+  CHECK(table.knows_service("s"));
+  CHECK_FALSE(table.has_target(start, "s"));
+}
+
+TEST_CASE("a draining target gets no new work and a target that left frees its row") {
+  // Guards against new work for an upstream that asked to leave (P10).
+  target_table table({}, "a", 1);
+  table.set_targets(start, {record("t")}, 1);
+  REQUIRE(table.acquire(start, "s", {}));
+  auto draining = record("t");
+  draining.draining = true;
+  table.set_targets(start, {draining}, 1);
+  CHECK_FALSE(table.acquire(start, "s", {}));
+  CHECK_FALSE(table.has_target(start, "s"));
+  table.set_targets(start, {}, 1);
+  table.set_targets(start, {record("t")}, 1);
+  CHECK(state_of(table, start, "t").in_flight == 1);
+  table.release(start + seconds{1}, "t", attempt_end::answered, seconds{1});
+  CHECK(state_of(table, start, "t").in_flight == 0);
+  table.set_targets(start, {}, 1);
+  table.release(start, "t", attempt_end::answered, seconds{1});
+}
+
+TEST_CASE("connect failures exclude with doubling and then allow one trial at a time") {
+  // Guards against a burst of requests at a target that is still dead.
+  target_table table({}, "a", 1);
+  table.set_targets(start, {record("t")}, 1);
+  time_point now = start;
+  for (const int pause : {250, 500, 1'000, 2'000, 4'000, 8'000, 8'000}) {
+    CAPTURE(pause);
+    REQUIRE(table.acquire(now, "s", {}));
+    CHECK_FALSE((pause > 250 && table.acquire(now, "s", {})));
+    table.release(now, "t", attempt_end::connect_failed, duration{0});
+    CHECK(state_of(table, now, "t").excluded);
+    CHECK_FALSE(table.acquire(now + milliseconds{pause - 1}, "s", {}));
+    now += milliseconds{pause};
+  }
+  REQUIRE(table.acquire(now, "s", {}));
+  CHECK_FALSE(table.acquire(now, "s", {}));
+  now += milliseconds{10};
+  table.release(now, "t", attempt_end::answered, milliseconds{10});
+  CHECK(state_of(table, now, "t").limit == 4);
+  CHECK(table.acquire(now, "s", {}));
+  CHECK(table.acquire(now, "s", {}));
+}
+
+TEST_CASE("connect failures of requests sent together count once") {
+  // Guards against an exclusion of seconds after one short interruption.
+  target_table table({}, "a", 1);
+  table.set_targets(start, {record("t")}, 1);
+  for (int it = 0; it < 4; ++it) {
+    REQUIRE(table.acquire(start, "s", {}));
+  }
+  for (int it = 0; it < 4; ++it) {
+    table.release(start, "t", attempt_end::connect_failed, duration{0});
+  }
+  CHECK(table.acquire(start + milliseconds{250}, "s", {}));
+}
+
+TEST_CASE("refusals and timeouts lower the limit at most once per round trip") {
+  // Guards against a collapse to 1 when all requests of one round trip are refused.
+  for (const attempt_end end : {attempt_end::shed, attempt_end::timed_out}) {
+    target_table table({}, "a", 1);
+    table.set_targets(start, {record("t")}, 1);
+    time_point now = start;
+    use_fully(table, now, 10, milliseconds{20});
+    const double before = state_of(table, now, "t").limit;
+    CHECK(before == 40);
+    for (int it = 0; it < 30; ++it) {
+      REQUIRE(table.acquire(now, "s", {}));
+    }
+    for (int it = 0; it < 30; ++it) {
+      table.release(now + milliseconds{1}, "t", end, milliseconds{1});
+    }
+    const auto after = state_of(table, now, "t");
+    CHECK(after.limit == doctest::Approx(0.7 * before));
+    // The latency of a fast refusal is not service latency.
+    CHECK(after.smoothed_latency == milliseconds{20});
+  }
+}
+
+TEST_CASE("an unused limit does not grow, and an unused one above the even division falls") {
+  // Guards against limits that rise for hours of light load and then let a surge through.
+  target_table table({}, "a", 1);
+  table.set_targets(start, {record("t", "a", 80)}, 8);
+  time_point now = start;
+  for (int it = 0; it < 1'000; ++it) {
+    const auto choice = table.acquire(now, "s", {});
+    now += milliseconds{5};
+    table.release(now, choice->id, attempt_end::answered, milliseconds{5});
+  }
+  CHECK(state_of(table, now, "t").limit == 4);
+  use_fully(table, now, 100, milliseconds{5});
+  CHECK(state_of(table, now, "t").limit == 40);
+  for (int it = 0; it < 3'000; ++it) {
+    now += milliseconds{10};
+    table.tick(now);
+  }
+  CHECK(state_of(table, now, "t").limit == 10);
+}
+
+TEST_CASE("a new incarnation is cold, and late answers of the old one do not count") {
+  // Guards against flooding a process that has just started.
+  target_table table({}, "a", 1);
+  table.set_targets(start, {record("t")}, 1);
+  time_point now = start;
+  use_fully(table, now, 10, milliseconds{20});
+  REQUIRE(table.acquire(now, "s", {}));
+  now += milliseconds{5};
+  table.set_targets(now, {record("t", "a", 40, 400, 2)}, 1);
+  CHECK(state_of(table, now, "t").limit == 4);
+  now += milliseconds{5};
+  table.release(now, "t", attempt_end::shed, milliseconds{10});
+  CHECK(state_of(table, now, "t").limit == 4);
+  CHECK(state_of(table, now, "t").in_flight == 0);
+}
+
+TEST_CASE("one reset leads to a trial, repeated resets exclude") {
+  // Guards against losing a target for seconds because one request was reset.
+  target_table table({}, "a", 1);
+  table.set_targets(start, {record("t")}, 1);
+  REQUIRE(table.acquire(start, "s", {}));
+  table.release(start, "t", attempt_end::broken, duration{0});
+  CHECK_FALSE(state_of(table, start, "t").excluded);
+  REQUIRE(table.acquire(start, "s", {}));
+  CHECK_FALSE(table.acquire(start, "s", {}));
+  table.release(start, "t", attempt_end::broken, duration{0});
+  CHECK(state_of(table, start, "t").excluded);
+}
+
+TEST_CASE("two choices prefer fewer requests in flight relative to the limit, then latency") {
+  // Guards against sending to the busier or slower of two targets.
+  target_table table({}, "a", 1);
+  table.set_targets(start, {record("t1"), record("t2")}, 1);
+  const auto first = table.acquire(start, "s", {})->id;
+  const auto second = table.acquire(start, "s", {})->id;
+  CHECK(first != second);
+  time_point now = start + milliseconds{10};
+  table.release(now, first, attempt_end::answered, milliseconds{1});
+  table.release(now, second, attempt_end::answered, milliseconds{9});
+  for (int it = 0; it < 20; ++it) {
+    const auto one = table.acquire(now, "s", {})->id;
+    const auto two = table.acquire(now, "s", {})->id;
+    now += milliseconds{10};
+    table.release(now, one, attempt_end::answered, milliseconds{one == "t1" ? 2 : 9});
+    table.release(now, two, attempt_end::answered, milliseconds{two == "t1" ? 2 : 9});
+  }
+  for (int it = 0; it < 20; ++it) {
+    CHECK(table.acquire(now, "s", {})->id == "t1");
+    table.release(now, "t1", attempt_end::cancelled, milliseconds{1});
+  }
+}
+
+TEST_CASE("subsets keep the connections of a target within its announcement") {
+  // Guards against 137 nodes that each open a connection or more to every target of 190.
+  std::map<std::string, std::uint32_t> connections;
+  std::set<std::size_t> sizes;
+  std::vector<target_record> targets;
+  for (int it = 0; it < 12; ++it) {
+    targets.push_back(record("t" + std::to_string(it), "a", 15, 190));
+  }
+  for (std::uint64_t node = 1; node <= 137; ++node) {
+    target_table table({}, "a", node);
+    table.set_targets(start, targets, 137);
+    std::set<std::string> used;
+    for (int it = 0; it < 500; ++it) {
+      const auto choice = table.acquire(start, "s", {});
+      if (choice && used.insert(choice->id).second) {
+        connections[choice->id] += choice->connections;
+      }
+    }
+    sizes.insert(used.size());
+  }
+  CHECK(sizes == std::set<std::size_t>{5});
+  for (const auto& it : connections) {
+    const std::uint32_t sum = it.second;
+    CAPTURE(it.first);
+    CHECK(sum <= 190);
+    CHECK(sum >= 90);
+  }
+}
+
+TEST_CASE("the baselines keep their fixed limit or none") {
+  // Guards against measurements whose baseline is controlled as well.
+  target_table fixed({.mode = policy::fixed, .fixed_limit = 7}, "a", 1);
+  target_table none({.mode = policy::none}, "a", 1);
+  for (auto* it : {&fixed, &none}) {
+    it->set_targets(start, {record("t")}, 1);
+  }
+  for (int it = 0; it < 7; ++it) {
+    CHECK(fixed.acquire(start, "s", {}));
+  }
+  CHECK_FALSE(fixed.acquire(start, "s", {}));
+  for (int it = 0; it < 1'000; ++it) {
+    CHECK(none.acquire(start, "s", {}));
+  }
+}
+
+TEST_CASE("cost of acquire and release") {
+  // Guards against a request path that takes more than a few microseconds. The bound is loose
+  // because other work may share the machine.
+  target_table table({}, "a", 1);
+  std::vector<target_record> targets;
+  for (int it = 0; it < 820; ++it) {
+    auto row = record("vm-" + std::to_string(it) + ":9000", it % 6 == 0 ? "a" : "b");
+    row.service = "service-" + std::to_string(it % 110);
+    targets.push_back(row);
+  }
+  table.set_targets(start, targets, 137);
+  constexpr int calls = 100'000;
+  const auto begin = clock_type::now();
+  for (int it = 0; it < calls; ++it) {
+    const auto choice = table.acquire(start, "service-7", {});
+    table.release(start + milliseconds{5}, choice->id, attempt_end::answered, milliseconds{5});
+  }
+  const double cost = std::chrono::duration<double, std::micro>(clock_type::now() - begin).count();
+  MESSAGE("acquire+release: ", cost / calls, " us");
+  CHECK(cost / calls < 20);
+}
