--- /dev/null
+++ b/tests/failure/fleet.h
@@ -0,0 +1,122 @@
+/// @file
+/// A fleet of real programs on 127.0.0.0/8 for failure tests: platform stand-in, nodes and
+/// upstream stand-ins in several data centres.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "failure/process.h"
+
+namespace damaskledge::failure {
+
+/// Upstreams of one service; one VM each, dealt out over the data centres in turn.
+struct service_plan {
+  std::string name;
+  std::uint32_t targets = 3;
+  std::uint32_t slots = 20;
+  double service_time_ms = 5;
+  /// Inner calls, in the form of the stand-in's --inner.
+  std::string inner;
+};
+
+struct fleet_plan {
+  /// Second byte of all addresses, so that tests can run beside each other.
+  std::uint8_t subnet = 10;
+  std::vector<std::string> data_centres{"dc1", "dc2", "dc3"};
+  std::vector<service_plan> services;
+  nlohmann::json accounts;
+  nlohmann::json plans;
+  /// Settings that replace the defaults on every node.
+  nlohmann::json settings = nlohmann::json::object();
+};
+
+/// A VM: one node and one upstream.
+struct machine {
+  std::string name;
+  std::string data_centre;
+  std::string address;
+  service_plan service;
+  std::unique_ptr<child_process> node;
+  std::unique_ptr<child_process> upstream;
+  std::uint64_t starts = 0;
+};
+
+/// Result of a run of damaskledgectl.
+struct control_result {
+  int exit_code = -1;
+  std::string output;
+  nlohmann::json json() const { return nlohmann::json::parse(output, nullptr, false); }
+};
+
+class fleet {
+ public:
+  fleet(const std::string& test, fleet_plan plan);
+  ~fleet();
+  fleet(const fleet&) = delete;
+  fleet& operator=(const fleet&) = delete;
+
+  /// Starts everything, applies the lists, gives each account a key, and waits until each node
+  /// has both documents in force and knows every target.
+  /// @return false when that took longer than 30 s.
+  bool start();
+
+  std::vector<machine>& machines() { return machines_; }
+  /// Machines of a data centre or of a service.
+  std::vector<machine*> of_data_centre(const std::string& name);
+  std::vector<machine*> of_service(const std::string& name);
+  void start_node(machine& it);
+  void start_upstream(machine& it);
+  endpoint caller_endpoint(const machine& it) const { return {it.address, 8'080}; }
+  endpoint operator_endpoint(const machine& it) const { return {it.address, 8'083}; }
+  endpoint upstream_endpoint(const machine& it) const { return {it.address, 9'000}; }
+  endpoint platform_endpoint() const;
+
+  /// Waits until every running node knows all running nodes and has the newest documents.
+  bool settled(milliseconds limit);
+  /// Runs damaskledgectl with the platform's address.
+  control_result control(const std::vector<std::string>& arguments);
+  /// @return key of an account, as given by `start` or `give_key`.
+  const std::string& key(const std::string& account) const { return keys_.at(account).text; }
+  const std::string& key_id(const std::string& account) const { return keys_.at(account).id; }
+  void give_key(const std::string& account);
+
+  /// Sends one request of an account to a node.
+  http_answer call(const machine& node, const std::string& account, const std::string& method,
+                   const std::string& target, const std::string& body = "",
+                   std::map<std::string, std::string> headers = {});
+  /// Sets faults of the platform stand-in.
+  void platform_faults(const nlohmann::json& faults) const;
+  nlohmann::json platform_counters() const;
+  /// Stops all traffic between a data centre and everything outside it.
+  void cut(const std::string& data_centre, bool from_platform);
+  void heal();
+  /// Executions logged by all upstreams of a service, in no order.
+  std::vector<nlohmann::json> executions(const std::string& service);
+  /// Headers with a caller's key that upstreams have seen.
+  std::uint64_t leaked_keys();
+  /// Sum over nodes of a metric's samples whose line starts with `prefix`.
+  double metric(const std::string& prefix);
+  const std::string& folder() const { return folder_; }
+
+ private:
+  struct given_key {
+    std::string id;
+    std::string text;
+  };
+  std::string cut_file(const std::string& data_centre) const;
+  std::string data_centre_prefix(const std::string& data_centre) const;
+
+  std::string folder_;
+  fleet_plan plan_;
+  std::vector<machine> machines_;
+  std::unique_ptr<child_process> platform_;
+  std::map<std::string, given_key> keys_;
+  std::uint64_t control_runs_ = 0;
+};
+
+} // namespace damaskledge::failure
