--- a/source/shares/allocator.cpp
+++ b/source/shares/allocator.cpp
@@ -15,6 +15,8 @@
 /// Longest pause between requests to donors that have nothing to give. Bounds the messages of an
 /// account that stays above its rate, and still follows demand that moves.
 constexpr milliseconds transfer_backoff_limit{160};
+/// Largest part of the data centre's burst that is kept for its own nodes.
+constexpr double reserve_fraction = 0.25;
 /// Sequence numbers further apart than this belong to different terms of a coordinator, because
 /// each term starts at a hash of its own.
 constexpr std::uint64_t sequence_window = std::uint64_t{1} << 32U;
@@ -118,6 +120,14 @@
          static_cast<double>(row.given_tokens) - predecessor(row, now);
 }
 
+/// Tokens that the data centre's own nodes will soon want. They are kept available so that
+/// requests do not wait for another data centre. Of a small burst little can be kept: each
+/// transfer occupies its tokens' part of the donor's burst until the transfer has ended.
+double allocator::reserve(const account_row& row) const {
+  return std::min(row.use * seconds_of(options_.transfer_ttl),
+                  row.current.burst * reserve_fraction);
+}
+
 /// Must run before counts are lowered: time that passed with a full bucket must not be credited
 /// into room that appeared only now.
 void allocator::accrue(account_row& row, time_point now) const {
@@ -275,14 +285,11 @@
     const auto it = row.holders.find(key);
     unmet += it == row.holders.end() ? 0 : it->second.waiting;
   }
-  // What the next 100 ms are expected to use is kept available, so that requests do not wait
-  // for another data centre.
-  const double reserve = row.use * seconds_of(options_.transfer_ttl);
-  if (unmet == 0 && row.available >= reserve) {
+  const double kept = reserve(row);
+  if (unmet == 0 && row.available >= kept) {
     return;
   }
-  std::uint32_t need =
-      std::min(whole(std::ceil(unmet + 2 * reserve - row.available)), whole(room(row, now)));
+  std::uint32_t need = std::min(whole(unmet + 2 * kept - row.available), whole(room(row, now)));
   if (need == 0 && unmet > 0 && row.available < 1 && room(row, now) + row.available >= 1) {
     // The fraction that is lost over the burst costs less than a refusal.
     need = 1;
@@ -401,7 +408,8 @@
   }
   std::uint32_t tokens = 0;
   if (row.queue.empty()) {
-    tokens = std::min({request.wanted, whole(row.available), whole(std::ceil(row.available / 2))});
+    tokens = std::min(
+        {request.wanted, whole(row.available - reserve(row)), whole(std::ceil(row.available / 2))});
   }
   if (tokens > 0 && !may_spend(request.account, row, tokens, now, "transfer")) {
     tokens = 0;
--- a/source/shares/node_buckets.cpp
+++ b/source/shares/node_buckets.cpp
@@ -93,6 +93,7 @@
     --first.tokens;
     settle(row, first, 1);
     ++row.taken;
+    row.last_taken = now;
     if (first.tokens == 0) {
       row.lots.pop_front();
     }
@@ -140,9 +141,11 @@
   for (const lot& it : row.lots) {
     remaining += it.tokens;
   }
-  const auto ahead =
-      static_cast<std::uint32_t>(std::min(row.use * seconds_of(options_.request_horizon),
-                                          row.fleet.burst * options_.prefetch_fraction));
+  // Demand that has moved away is not followed by requests for tokens that would expire.
+  const double horizon =
+      now - row.last_taken < early_use ? seconds_of(options_.request_horizon) : 0;
+  const auto ahead = static_cast<std::uint32_t>(
+      std::min(row.use * horizon, row.fleet.burst * options_.prefetch_fraction));
   const bool interval_passed = now - row.last_sent >= options_.request_interval;
   const bool early = ahead > remaining && interval_passed &&
                      remaining < std::max(1.0, row.use * seconds_of(early_use));
--- a/source/shares/shares.h
+++ b/source/shares/shares.h
@@ -156,6 +156,7 @@
   double ceiling(const limit& value) const;
   double predecessor(const account_row& row, time_point now) const;
   double room(const account_row& row, time_point now) const;
+  double reserve(const account_row& row) const;
   void accrue(account_row& row, time_point now) const;
   static void release(account_row& row, time_point now);
   void advance(account_row& row, time_point now) const;
@@ -241,6 +242,7 @@
     /// Tokens taken per second, averaged.
     double use = 0;
     std::uint32_t taken = 0;
+    time_point last_taken;
     time_point use_at;
   };
 
