Exchange reports on crashes between nodes

A caller may send a crashing request again to any node, and a target serves many nodes. With local evidence only, a culprit that changes nodes was never seen twice, and a node with a single request in flight at each of two targets blamed this request. Nodes now exchange reports of deaths and of suspects that were answered; reports of one death are joined, the verdict is formed again with the competitors of other nodes, and convictions are told on after 300 ms.

The reports need a message between nodes, which wire does not have yet; without it the table judges by local evidence as before.

--- a/source/admission/admission.h
+++ b/source/admission/admission.h
@@ -204,6 +204,33 @@
   std::size_t max_entries = 16'384;
 };
 
+/// Death of a target as one node saw it.
+struct death_report {
+  struct member {
+    id128 fingerprint;
+    /// Time from the start of the attempt to the death.
+    std::chrono::microseconds age{0};
+
+    bool operator==(const member&) const = default;
+  };
+  std::string target;
+  /// Fingerprints that the node had in flight at the target.
+  std::vector<member> members;
+
+  bool operator==(const death_report&) const = default;
+};
+
+/// What a node tells all others about crashes. It is rare and small: about 24 bytes for each
+/// request that was in flight at a target that died.
+struct crash_report {
+  std::vector<death_report> deaths;
+  /// Suspects that were answered.
+  std::vector<id128> cleared;
+
+  bool empty() const { return deaths.empty() && cleared.empty(); }
+  bool operator==(const crash_report&) const = default;
+};
+
 /// Recognises requests that crash upstreams. Not thread-safe.
 ///
 /// When a target dies, the n fingerprints in flight there share the suspicion: each gets the
@@ -214,6 +241,10 @@
 /// about the same age each time, while an innocent one that was repeated was in flight at an
 /// arbitrary age; most innocent ones have been answered before. When several explain the deaths
 /// equally well, none is refused before another death tells them apart.
+///
+/// A caller may send the request again to any node, and a target serves many nodes. The nodes
+/// therefore exchange reports; without them, a node with one request in flight at a target would
+/// blame this request alone.
 class crash_table {
  public:
   explicit crash_table(crash_settings options);
@@ -235,6 +266,10 @@
   /// @return this node's own convictions. Those heard are left out: nodes that told them to each
   /// other would renew them for ever.
   std::vector<id128> convictions(time_point now) const;
+  /// @return what happened since the last call, to be sent to all other nodes soon.
+  crash_report take_report();
+  /// Report of another node. Reports of one death by several nodes are joined.
+  void heard_report(time_point now, const crash_report& report);
 
  private:
   struct attempt {
@@ -253,28 +288,39 @@
     time_point died_at{};
     bool died = false;
   };
-  struct suspicion {
+  struct death {
     std::string target;
     time_point at{};
-    double weight = 0;
-    /// Time from the start of the attempt to the death of the target.
-    duration age{0};
+    /// Age of each fingerprint that was in flight.
+    std::unordered_map<id128, duration, id128_hash> ages;
   };
+  using death_number = std::uint64_t;
   struct conviction {
+    time_point since{};
     time_point until{};
     bool own = false;
+    /// Death that led to an own conviction.
+    death_number death = 0;
   };
 
   std::optional<time_point> end_attempt(const id128& fingerprint, const std::string& target);
   void record_death(time_point now, target_row& row, const std::string& target);
-  void judge(time_point now, const std::vector<id128>& present);
+  void add_death(time_point now, const std::string& target,
+                 const std::vector<death_report::member>& members);
+  void judge(time_point now, death_number number);
+  void decide(time_point now, death_number number, const id128& fingerprint, bool guilty);
   double likelihood(time_point now, const id128& fingerprint,
-                    const std::vector<suspicion>& deaths) const;
+                    const std::vector<death_number>& deaths) const;
+  void clear(const id128& fingerprint);
   void prune(time_point now);
 
   crash_settings options_;
   std::unordered_map<std::string, target_row> targets_;
-  std::unordered_map<id128, std::vector<suspicion>, id128_hash> suspicions_;
+  std::unordered_map<death_number, death> deaths_;
+  death_number last_death_ = 0;
+  /// Deaths of different targets at which a fingerprint was in flight, in order.
+  std::unordered_map<id128, std::vector<death_number>, id128_hash> suspicions_;
+  crash_report pending_;
   std::unordered_map<id128, conviction, id128_hash> convictions_;
   /// Time of the last answer of a fingerprint; two generations, the older one is dropped whole.
   std::array<std::unordered_map<id128, time_point, id128_hash>, 2> answered_;
--- a/source/admission/crash_table.cpp
+++ b/source/admission/crash_table.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 #include "admission/admission.h"
 
@@ -9,6 +10,12 @@
 
 /// Resets of one death are reported by many threads within this time.
 constexpr milliseconds death_window{1'000};
+/// Own convictions are told after this time, when the reports of other nodes on the same death
+/// have arrived and may have changed the verdict.
+constexpr milliseconds told_after{300};
+/// Bounds on a report that nobody takes.
+constexpr std::size_t max_pending_deaths = 64;
+constexpr std::size_t max_pending_cleared = 4'096;
 /// Difference of ages at two deaths at which the likelihood is halved: in seconds, and as a part
 /// of the larger age.
 constexpr double age_tolerance = 0.002;
@@ -62,8 +69,10 @@
 
 void crash_table::answered(time_point now, const id128& fingerprint, const std::string& target) {
   (void)end_attempt(fingerprint, target);
-  suspicions_.erase(fingerprint);
-  convictions_.erase(fingerprint);
+  if (suspicions_.contains(fingerprint) && pending_.cleared.size() < max_pending_cleared) {
+    pending_.cleared.push_back(fingerprint);
+  }
+  clear(fingerprint);
   if (answered_[0].size() >= options_.max_entries / 2) {
     answered_[1] = std::move(answered_[0]);
     answered_[0].clear();
@@ -72,6 +81,11 @@
   prune(now);
 }
 
+void crash_table::clear(const id128& fingerprint) {
+  suspicions_.erase(fingerprint);
+  convictions_.erase(fingerprint);
+}
+
 void crash_table::abandoned(const id128& fingerprint, const std::string& target) {
   (void)end_attempt(fingerprint, target);
 }
@@ -117,28 +131,61 @@
   row.died = true;
   row.died_at = died_at;
   row.recent.clear();
-  std::vector<id128> present;
+  death_report report{target, {}};
   for (const auto& [fingerprint, age] : ages) {
-    if (suspicions_.size() >= options_.max_entries && !suspicions_.contains(fingerprint)) {
+    report.members.push_back(
+        {fingerprint, std::chrono::duration_cast<std::chrono::microseconds>(age)});
+  }
+  add_death(now, target, report.members);
+  if (pending_.deaths.size() < max_pending_deaths) {
+    pending_.deaths.push_back(std::move(report));
+  }
+}
+
+void crash_table::add_death(time_point now, const std::string& target,
+                            const std::vector<death_report::member>& members) {
+  death_number number = 0;
+  for (const auto& [candidate, known] : deaths_) {
+    if (known.target == target && now - known.at <= death_window) {
+      number = candidate;
+    }
+  }
+  if (number == 0) {
+    number = ++last_death_;
+    deaths_.emplace(number, death{target, now, {}});
+  }
+  death& known = deaths_.at(number);
+  for (const death_report::member& it : members) {
+    if (known.ages.size() >= options_.max_entries ||
+        (suspicions_.size() >= options_.max_entries && !suspicions_.contains(it.fingerprint))) {
+      break;
+    }
+    const auto [found, added] = known.ages.try_emplace(it.fingerprint, it.age);
+    if (!added) {
+      found->second = std::min<duration>(found->second, it.age);
       continue;
     }
-    auto& deaths = suspicions_[fingerprint];
+    auto& numbers = suspicions_[it.fingerprint];
     // Repeated deaths of one target can have a cause in the target.
-    std::erase_if(deaths, [&](const suspicion& it) {
-      return it.target == target || now - it.at > options_.suspicion_lapse;
+    std::erase_if(numbers, [&](death_number earlier) {
+      const auto other = deaths_.find(earlier);
+      return other == deaths_.end() || other->second.target == target ||
+             now - other->second.at > options_.suspicion_lapse;
     });
-    deaths.push_back({target, now, 1.0 / static_cast<double>(ages.size()), age});
-    present.push_back(fingerprint);
+    numbers.push_back(number);
   }
-  judge(now, present);
+  judge(now, number);
 }
 
 double crash_table::likelihood(time_point now, const id128& fingerprint,
-                               const std::vector<suspicion>& deaths) const {
+                               const std::vector<death_number>& deaths) const {
+  const auto age_at = [&](death_number number) {
+    return in_seconds(deaths_.at(number).ages.at(fingerprint));
+  };
   double result = 1;
   for (std::size_t it = 1; it < deaths.size(); ++it) {
-    const double a = in_seconds(deaths[it - 1].age);
-    const double b = in_seconds(deaths[it].age);
+    const double a = age_at(deaths[it - 1]);
+    const double b = age_at(deaths[it]);
     const double tolerance = std::max(age_tolerance, relative_age_tolerance * std::max(a, b));
     const double ratio = std::pow((a - b) / tolerance, 4);
     result *= std::max(least_age_likelihood, 1 / (1 + ratio));
@@ -152,41 +199,69 @@
   return result;
 }
 
-void crash_table::judge(time_point now, const std::vector<id128>& present) {
-  std::vector<std::pair<id128, double>> repeated;
-  double sum = 0;
-  std::size_t most_deaths = 0;
-  for (const id128& it : present) {
-    const auto& deaths = suspicions_.at(it);
-    double weight = 0;
-    for (const suspicion& death : deaths) {
-      weight += death.weight;
-    }
-    if (weight >= options_.threshold) {
-      convictions_[it] = {now + options_.conviction_lapse, true};
+void crash_table::decide(time_point now, death_number number, const id128& fingerprint,
+                         bool guilty) {
+  const auto found = convictions_.find(fingerprint);
+  if (guilty) {
+    if (found == convictions_.end()) {
+      convictions_.emplace(fingerprint,
+                           conviction{now, now + options_.conviction_lapse, true, number});
     }
-    most_deaths = std::max(most_deaths, deaths.size());
+  } else if (found != convictions_.end() && found->second.own && found->second.death == number) {
+    // A report of another node on the same death has brought competitors.
+    convictions_.erase(found);
   }
-  if (most_deaths < 2) {
-    return;
+}
+
+void crash_table::judge(time_point now, death_number number) {
+  const auto& ages = deaths_.at(number).ages;
+  std::size_t most_deaths = 0;
+  // A fingerprint that was cleared after it was reported has no suspicions left.
+  std::vector<std::pair<id128, const std::vector<death_number>*>> present;
+  for (const auto& [fingerprint, age] : ages) {
+    const auto found = suspicions_.find(fingerprint);
+    if (found != suspicions_.end() && found->second.back() == number) {
+      present.emplace_back(fingerprint, &found->second);
+      most_deaths = std::max(most_deaths, found->second.size());
+    }
   }
   // Only those present at the most deaths explain all of them.
-  for (const id128& it : present) {
-    const auto& deaths = suspicions_.at(it);
-    if (deaths.size() == most_deaths) {
-      repeated.emplace_back(it, likelihood(now, it, deaths));
-      sum += repeated.back().second;
-    }
+  std::vector<double> likelihoods;
+  double sum = 0;
+  std::size_t repeated = 0;
+  for (const auto& [fingerprint, deaths] : present) {
+    const bool competes = most_deaths >= 2 && deaths->size() == most_deaths;
+    likelihoods.push_back(competes ? likelihood(now, fingerprint, *deaths) : 0);
+    sum += likelihoods.back();
+    repeated += competes ? 1 : 0;
   }
-  sum += other_cause * static_cast<double>(repeated.size()) *
-         std::pow(further_other_cause, static_cast<double>(most_deaths - 2));
-  for (const auto& [fingerprint, value] : repeated) {
-    if (value / sum >= decisive_part) {
-      convictions_[fingerprint] = {now + options_.conviction_lapse, true};
+  sum += other_cause * static_cast<double>(repeated) *
+         std::pow(further_other_cause, static_cast<double>(most_deaths) - 2);
+  for (std::size_t it = 0; it < present.size(); ++it) {
+    double weight = 0;
+    for (const death_number earlier : *present[it].second) {
+      weight += 1.0 / static_cast<double>(deaths_.at(earlier).ages.size());
     }
+    const bool guilty =
+        weight >= options_.threshold || (repeated > 0 && likelihoods[it] / sum >= decisive_part);
+    decide(now, number, present[it].first, guilty);
   }
 }
 
+crash_report crash_table::take_report() {
+  return std::exchange(pending_, {});
+}
+
+void crash_table::heard_report(time_point now, const crash_report& report) {
+  for (const id128& it : report.cleared) {
+    clear(it);
+  }
+  for (const death_report& it : report.deaths) {
+    add_death(now, it.target, it.members);
+  }
+  prune(now);
+}
+
 bool crash_table::convicted(time_point now, const id128& fingerprint) const {
   const auto found = convictions_.find(fingerprint);
   return found != convictions_.end() && now < found->second.until;
@@ -194,14 +269,15 @@
 
 void crash_table::heard(time_point now, const id128& fingerprint) {
   if (convictions_.size() < options_.max_entries) {
-    convictions_.try_emplace(fingerprint, conviction{now + options_.conviction_lapse, false});
+    convictions_.try_emplace(fingerprint,
+                             conviction{now, now + options_.conviction_lapse, false, 0});
   }
 }
 
 std::vector<id128> crash_table::convictions(time_point now) const {
   std::vector<id128> result;
   for (const auto& [fingerprint, entry] : convictions_) {
-    if (entry.own && now < entry.until) {
+    if (entry.own && now < entry.until && now - entry.since >= told_after) {
       result.push_back(fingerprint);
     }
   }
@@ -213,9 +289,12 @@
     return;
   }
   last_prune_ = now;
-  std::erase_if(suspicions_, [&](const auto& it) {
-    return now - it.second.back().at > options_.suspicion_lapse;
-  });
+  std::erase_if(deaths_,
+                [&](const auto& it) { return now - it.second.at > options_.suspicion_lapse; });
+  for (auto it = suspicions_.begin(); it != suspicions_.end();) {
+    std::erase_if(it->second, [&](death_number number) { return !deaths_.contains(number); });
+    it = it->second.empty() ? suspicions_.erase(it) : std::next(it);
+  }
   std::erase_if(convictions_, [&](const auto& it) { return now >= it.second.until; });
   std::erase_if(targets_, [&](const auto& it) {
     return it.second.in_flight.empty() && now - it.second.died_at > options_.suspicion_lapse;
--- a/tests/admission/crash_table_test.cpp
+++ b/tests/admission/crash_table_test.cpp
@@ -177,3 +177,82 @@
   CHECK_FALSE(table.convicted(start + seconds{600}, fingerprint(1)));
   CHECK(table.convictions(start).empty());
 }
+
+TEST_CASE("nodes that exchange reports refuse the culprit everywhere and no innocent") {
+  // Guards against a caller that sends the request again to another node each time, and against a
+  // node that blames the only request that it had in flight at a target.
+  std::size_t caught = 0;
+  std::size_t wrong = 0;
+  constexpr std::size_t runs = 200;
+  constexpr std::size_t node_count = 12;
+  for (std::size_t run = 0; run < runs; ++run) {
+    std::mt19937_64 random(run);
+    std::vector<crash_table> nodes(node_count, crash_table({}));
+    std::vector<id128> innocents;
+    std::vector<std::vector<id128>> in_flight_before(node_count);
+    time_point now = start;
+    for (const std::string target : {"t1", "t2"}) {
+      // One to four innocents in flight from each node; on every second node, the first of them
+      // was in flight at the death before, too.
+      std::vector<std::vector<id128>> in_flight(node_count);
+      for (std::size_t node = 0; node < node_count; ++node) {
+        const std::size_t count = 1 + random() % 4;
+        for (std::size_t it = 0; it < count; ++it) {
+          const bool again = it == 0 && node % 2 == 1 && !in_flight_before[node].empty();
+          const id128 value = again ? in_flight_before[node].front() : fingerprint(random());
+          const auto age = std::chrono::microseconds(10'000 + random() % 40'000);
+          nodes[node].started(now - age, value, target);
+          in_flight[node].push_back(value);
+          innocents.push_back(value);
+        }
+      }
+      const std::size_t culprit_node = random() % node_count;
+      nodes[culprit_node].started(now - milliseconds{5}, fingerprint(0), target);
+      in_flight[culprit_node].push_back(fingerprint(0));
+      for (std::size_t node = 0; node < node_count; ++node) {
+        for (const id128& it : in_flight[node]) {
+          nodes[node].broken(now, it, target, true);
+        }
+      }
+      for (std::size_t node = 0; node < node_count; ++node) {
+        const crash_report report = nodes[node].take_report();
+        CHECK_FALSE(report.empty());
+        for (std::size_t other = 0; other < node_count; ++other) {
+          if (other != node) {
+            nodes[other].heard_report(now + milliseconds{2}, report);
+          }
+        }
+      }
+      in_flight_before = in_flight;
+      now += seconds{1};
+    }
+    for (const crash_table& it : nodes) {
+      caught += it.convicted(now, fingerprint(0)) ? 1 : 0;
+      for (const id128& innocent : innocents) {
+        wrong += it.convicted(now, innocent) ? 1 : 0;
+      }
+    }
+  }
+  MESSAGE("12 nodes, 6 unanswered repeats: culprit refused on ", caught, " of ", runs * node_count,
+          " nodes after two deaths, innocents refused ", wrong);
+  CHECK(wrong == 0);
+  CHECK(caught >= runs * node_count / 2);
+}
+
+TEST_CASE("an answer at one node clears the suspicion on the others") {
+  // Guards against innocents that stay suspects where they are not sent again.
+  crash_table first({});
+  crash_table second({});
+  first.started(start, fingerprint(1), "t1");
+  first.broken(start, fingerprint(1), "t1", true);
+  second.heard_report(start, first.take_report());
+  CHECK(first.take_report().empty());
+  second.started(start, fingerprint(1), "t2");
+  second.answered(start, fingerprint(1), "t2");
+  first.heard_report(start, second.take_report());
+  for (crash_table* it : {&first, &second}) {
+    it->started(start, fingerprint(1), "t3");
+    it->broken(start, fingerprint(1), "t3", true);
+    CHECK_FALSE(it->convicted(start, fingerprint(1)));
+  }
+}
