--- a/source/node/control_plane.cpp
+++ b/source/node/control_plane.cpp
@@ -32,6 +32,33 @@
   return seconds(value.tv_sec) + std::chrono::nanoseconds(value.tv_nsec);
 }
 
+wire::crash_notice to_notice(const admission::crash_report& report) {
+  wire::crash_notice result;
+  for (const auto& death : report.deaths) {
+    wire::crash_death row{death.target, {}};
+    for (const auto& it : death.members) {
+      row.members.push_back({it.fingerprint, static_cast<std::uint64_t>(it.age.count())});
+    }
+    result.deaths.push_back(std::move(row));
+  }
+  result.cleared = report.cleared;
+  return result;
+}
+
+admission::crash_report to_report(const wire::crash_notice& notice) {
+  admission::crash_report result;
+  for (const auto& death : notice.deaths) {
+    admission::death_report row{death.target, {}};
+    for (const auto& it : death.members) {
+      row.members.push_back(
+          {it.fingerprint, std::chrono::microseconds(static_cast<std::int64_t>(it.age_us))});
+    }
+    result.deaths.push_back(std::move(row));
+  }
+  result.cleared = notice.cleared;
+  return result;
+}
+
 template <class... Visitors>
 struct overloaded : Visitors... {
   using Visitors::operator()...;
@@ -160,6 +187,7 @@
     transport_->send(requests);
     routes_.tick(clock_type::now());
     send_ended_contexts(now);
+    send_crash_report();
     ticker_time_ = thread_time().count();
     std::this_thread::sleep_until(now + tick_period);
   }
@@ -190,6 +218,10 @@
                  [&](const wire::claim_finish_reply& reply) {
                    settle(reply.sequence, [&](pending_claim& it) { it.stored = reply.stored; });
                  },
+                 [&](const wire::crash_notice& notice) {
+                   const std::lock_guard lock(crashes_.mutex);
+                   crashes_.table.heard_report(now, to_report(notice));
+                 },
                  [&](const wire::contexts_ended& notice) {
                    if (contexts_ended_) {
                      contexts_ended_(notice.contexts);
@@ -325,6 +357,29 @@
   }
 }
 
+void control_plane::send_crash_report() {
+  admission::crash_report report;
+  {
+    const std::lock_guard lock(crashes_.mutex);
+    report = crashes_.table.take_report();
+  }
+  if (report.empty()) {
+    return;
+  }
+  const wire::crash_notice notice = to_notice(report);
+  std::vector<wire::member_record> members;
+  {
+    const std::lock_guard lock(core_mutex_);
+    members = core_.members();
+  }
+  for (const auto& it : members) {
+    if (it.name != settings_.name && it.state != wire::member_state::left &&
+        it.state != wire::member_state::dead) {
+      transport_->send({{it.address, it.peer_port}, wire::transport::stream, notice});
+    }
+  }
+}
+
 void control_plane::on_contexts_ended(std::function<void(const std::vector<id128>&)> handler) {
   contexts_ended_ = std::move(handler);
 }
--- a/source/node/control_plane.h
+++ b/source/node/control_plane.h
@@ -103,6 +103,8 @@
   void publish();
   core::local_facts local_facts(time_point now);
   void send_ended_contexts(time_point now);
+  /// Tells all nodes which requests were in flight at targets that died.
+  void send_crash_report();
 
   /// Runs `function` on the core and carries out its effects.
   template <class Function>
--- a/source/node/http_front.cpp
+++ b/source/node/http_front.cpp
@@ -219,7 +219,7 @@
     caller_answer answer;
     bool body_read = false;
     if (refused) {
-      state_.reports.count(to_string(refused->reason));
+      state_.reports.refused_early(refused->reason);
       answer = refusal_answer(*refused, to_string(random_id()));
     } else {
       caller_request call;
@@ -336,9 +336,8 @@
     answer.status = 200;
     std::string type = "application/json";
     if (uri.getPath() == "/metrics") {
-      set_gauges();
       type = "text/plain; version=0.0.4";
-      answer.body = state_.reports.exposition();
+      answer.body = exposition();
     } else if (uri.getPath() == "/status") {
       answer.body = state_.control.describe();
     } else if (uri.getPath() == "/targets") {
@@ -354,21 +353,35 @@
   }
 
  private:
-  void set_gauges() {
-    auto& reports = state_.reports;
-    reports.set_gauge("in_flight", "", state_.in_flight);
-    reports.set_gauge("connections", "", state_.caller_listener->currentConnections());
-    reports.set_gauge("invariant_violations", "", static_cast<double>(violation_count()));
-    const auto& traffic = state_.control.traffic();
-    reports.set_gauge("peer_bytes", "sent", static_cast<double>(traffic.bytes_sent));
-    reports.set_gauge("peer_bytes", "received", static_cast<double>(traffic.bytes_received));
-    reports.set_gauge("peer_frames", "dropped", static_cast<double>(traffic.dropped));
-    reports.set_gauge("ticker_seconds", "",
-                      std::chrono::duration<double>(state_.control.ticker_time()).count());
+  /// @return the request metrics and those of the parts that count for themselves.
+  std::string exposition() {
+    std::vector<telemetry::limit_sample> limits;
     for (const auto& it : state_.routes.targets()) {
-      reports.set_gauge("target_limit", it.id, it.limit);
-      reports.set_gauge("target_in_flight", it.id, it.in_flight);
+      limits.push_back({it.id, it.limit, it.in_flight});
+    }
+    auto& metrics = state_.reports.metrics();
+    metrics.limits(limits);
+    for (const auto& it : state_.routes.own_shed_levels()) {
+      metrics.shed_level(it.service, it.level);
+    }
+    const auto& traffic = state_.control.traffic();
+    metrics.set("damaskledge_in_flight", "Requests in flight", state_.in_flight);
+    metrics.set("damaskledge_connections", "Open connections of callers",
+                state_.caller_listener->currentConnections());
+    metrics.set("damaskledge_peer_sent_bytes", "Bytes sent to other nodes",
+                static_cast<double>(traffic.bytes_sent));
+    metrics.set("damaskledge_peer_received_bytes", "Bytes received from other nodes",
+                static_cast<double>(traffic.bytes_received));
+    metrics.set("damaskledge_peer_dropped_frames", "Frames that were dropped",
+                static_cast<double>(traffic.dropped));
+    metrics.set("damaskledge_ticker_seconds", "Processor time of the control ticker",
+                std::chrono::duration<double>(state_.control.ticker_time()).count());
+    double calls = 0;
+    for (const auto& it : state_.control.platform_calls()) {
+      calls += static_cast<double>(it.count);
     }
+    metrics.set("damaskledge_platform_calls", "Calls to the platform since the start", calls);
+    return metrics.exposition();
   }
 
   std::string targets() {
--- a/source/node/node.cpp
+++ b/source/node/node.cpp
@@ -75,7 +75,6 @@
     std::this_thread::sleep_for(left_linger);
     front.stop();
     control_.stop();
-    reports_.stop();
     LOG(INFO) << "event=stopped node=" << settings_.name;
   }
 
--- a/source/node/request_path.cpp
+++ b/source/node/request_path.cpp
@@ -193,7 +193,6 @@
   it.report.request = random_id();
   it.report.inner = request.inner;
   it.report.started = request.arrived;
-  it.report.started_unix = unix_now();
   reports_.start_trace(it.report, request.header("traceparent"));
 
   const auto decide = [&]() -> std::variant<caller_answer, refusal> {
@@ -587,7 +586,6 @@
     }
     // A caller may repeat its key in a header of its own; such a header stays behind.
     if (!it.key.empty() && admission::contains_key(value, it.key)) {
-      reports_.count("key_in_header");
       continue;
     }
     result.headers.emplace_back(name, value);
--- a/source/telemetry/metrics.cpp
+++ b/source/telemetry/metrics.cpp
@@ -114,6 +114,7 @@
              "Time that the node added to served requests")
           .Add({}, added_latency_bounds);
 
+  std::map<std::string, prometheus::Gauge*> gauges;
   children<prometheus::Counter> requests;
   children<prometheus::Counter> refusals;
   children<prometheus::Counter> retries;
@@ -137,6 +138,15 @@
   }
 };
 
+void metrics::set(const std::string& name, const std::string& help, double value) {
+  const std::lock_guard lock(state_->mutex);
+  prometheus::Gauge*& row = state_->gauges[name];
+  if (row == nullptr) {
+    row = &prometheus::BuildGauge().Name(name).Help(help).Register(state_->registry).Add({});
+  }
+  row->Set(value);
+}
+
 metrics::metrics() : state_(std::make_unique<state>()) {}
 metrics::~metrics() = default;
 
--- a/source/telemetry/telemetry.h
+++ b/source/telemetry/telemetry.h
@@ -70,6 +70,10 @@
   /// Time that the node added to a request that was served.
   void added_latency(duration added);
 
+  /// Sets a gauge that is read from another part when metrics are asked for.
+  /// @param name full metric name, a constant of the program.
+  void set(const std::string& name, const std::string& help, double value);
+
   /// @return all metrics in the Prometheus text format, with the invariant violations of the
   /// process.
   std::string exposition() const;
