--- a/source/wire/wire.h
+++ b/source/wire/wire.h
@@ -341,11 +341,42 @@
   }
 };
 
+/// Request in flight at a target that died.
+struct crash_member {
+  id128 fingerprint;
+  /// Microseconds from the start of the attempt to the death.
+  std::uint64_t age_us = 0;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(fingerprint, age_us);
+  }
+};
+
+struct crash_death {
+  std::string target;
+  std::vector<crash_member> members;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(target, members);
+  }
+};
+
+/// Tells all nodes of targets that died and what was in flight there, and of suspects that were
+/// answered since.
+struct crash_notice {
+  std::vector<crash_death> deaths;
+  std::vector<id128> cleared;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(deaths, cleared);
+  }
+};
+
 using message = std::variant<probe, probe_acknowledgement, indirect_probe, member_sync_request,
                              member_sync_reply, document_rumour, document_pull, document_content,
                              document_confirmation, token_request, token_grant, transfer_request,
                              transfer_grant, claim_request, claim_reply, claim_finish,
-                             claim_finish_reply, contexts_ended>;
+                             claim_finish_reply, contexts_ended, crash_notice>;
 
 /// How a message travels: datagrams may be lost, streams arrive in order or fail.
 enum class transport : std::uint8_t { datagram, stream };
