Add the document table with rumours, pulls and merge patches

JSON contents are kept in compact form with sorted keys, so that a merge patch reproduces the bytes and the hash; anything else falls back to the whole content. A starting node asks three peers before its first version is in force and never goes below a version it has heard of.

--- a/source/documents/documents.h
+++ b/source/documents/documents.h
@@ -15,7 +15,8 @@
 
 namespace damaskledge::documents {
 
-/// A document in force.
+/// A document in force. JSON content is kept in nlohmann-json's compact form with sorted keys, so
+/// that a patched content has the same bytes and hash as the whole one.
 struct document {
   std::string name;
   std::uint64_t version = 0;
@@ -34,10 +35,15 @@
   /// Earlier versions kept to answer pulls with a patch.
   std::uint32_t patch_history = 16;
   milliseconds pull_timeout{500};
-  /// Freshness of each document is told to peers this often.
+  /// Freshness of each document is told to a peer this often.
   milliseconds confirm_period{1'000};
+  /// Peers that a starting node asks before it puts its first version in force.
+  std::uint32_t start_peers = 3;
 };
 
+/// Largest document in bytes, as the platform allows.
+inline constexpr std::size_t max_document_bytes = 1'048'576;
+
 /// A peer to which rumours may go.
 struct peer {
   std::string name;
@@ -52,6 +58,9 @@
                  std::uint64_t seed);
 
   void set_peers(std::vector<peer> peers);
+  /// Each version in force is reported to this address, so that the coordinator can write the
+  /// status of the data centre; nothing while there is none or this node is the coordinator.
+  void set_coordinator(std::optional<endpoint> address);
   std::vector<wire::outgoing> tick(time_point now);
   /// Handles rumours, pulls, contents and confirmations.
   std::vector<wire::outgoing> receive(time_point now, const wire::incoming& from);
@@ -68,12 +77,69 @@
   std::optional<document> in_force(const std::string& name) const;
   std::vector<wire::document_version> versions_in_force() const;
   std::vector<wire::document_version> highest_heard() const;
+  /// Versions that nodes last reported or confirmed to this one, by node name.
+  std::map<std::string, std::uint64_t> reported_versions(const std::string& name) const;
   /// Rises whenever a document in force changes.
   std::uint64_t change_count() const;
 
  private:
+  using outgoing_list = std::vector<wire::outgoing>;
+  struct entry {
+    std::optional<document> current;
+    /// Best content of a process that has had none in force; it waits for a version that is
+    /// not below `highest`.
+    std::optional<document> staged;
+    std::uint64_t highest = 0;
+    /// Peers that told of `highest`.
+    std::vector<endpoint> sources;
+    /// Earlier contents by version, to make patches.
+    std::map<std::uint64_t, std::string> history;
+    /// Patches to the version in force by base version; empty when the whole is smaller.
+    std::map<std::uint64_t, std::string> patches;
+    /// Peers asked at the start that have not answered.
+    std::vector<endpoint> start_pending;
+    std::optional<time_point> start_deadline;
+    bool started = false;
+    time_point next_start{};
+    std::optional<endpoint> pulling_from;
+    time_point pull_deadline{};
+    time_point next_confirmation{};
+    time_point next_report{};
+    std::map<std::string, std::uint64_t> reported;
+  };
+
+  entry* find(const std::string& name);
+  void note_version(entry& row, std::uint64_t version, const endpoint* source);
+  void start(time_point now, const std::string& name, entry& row, outgoing_list& out);
+  void pull(time_point now, const std::string& name, entry& row, outgoing_list& out);
+  void pull_from(time_point now, const std::string& name, entry& row, const endpoint& source,
+                 std::uint64_t have, outgoing_list& out);
+  void pull_if_behind(time_point now, const std::string& name, entry& row, outgoing_list& out);
+  void offer(time_point now, entry& row, document value, outgoing_list& out);
+  void settle(time_point now, entry& row, outgoing_list& out);
+  void put_in_force(time_point now, entry& row, document value, outgoing_list& out);
+  void spread(const entry& row, outgoing_list& out);
+  void report(time_point now, const std::string& name, entry& row, outgoing_list& out);
+  void on_content(time_point now, const wire::incoming& from, const wire::document_content& body,
+                  outgoing_list& out);
+  void on_pull(time_point now, const wire::incoming& from, const wire::document_pull& body,
+               outgoing_list& out);
+  void on_confirmation(time_point now, const wire::incoming& from,
+                       const wire::document_confirmation& body, outgoing_list& out);
+  const std::string& patch_from(entry& row, std::uint64_t base);
+  /// False while messages may have waited in this process during a pause, so that the ages in them
+  /// are too low.
+  bool ages_trusted(time_point now) const;
+
   settings options_;
   std::string data_centre_;
+  std::map<std::string, entry> entries_;
+  std::vector<peer> peers_;
+  std::optional<endpoint> coordinator_;
+  std::mt19937_64 random_;
+  std::optional<time_point> last_tick_;
+  time_point ages_distrusted_until_{};
+  std::uint64_t changes_ = 0;
 };
 
 } // namespace damaskledge::documents
