--- a/source/core/core.cpp
+++ b/source/core/core.cpp
@@ -136,6 +136,9 @@
     seen_members_ = members_.change_count();
     refresh_targets();
   }
+  const auto own = election_.known(settings_.data_centre);
+  const bool reports = own && own->holder != settings_.name;
+  documents_.set_coordinator(reports ? std::optional(own->address) : std::nullopt);
   append(out.messages, documents_.tick(now));
 }
 
@@ -143,11 +146,13 @@
   coordination::view view;
   for (const auto& it : members_.alive(settings_.data_centre)) {
     view.alive.push_back(it.name);
-    const auto heard = heard_at_.find(it.name);
-    if (it.name == settings_.name ||
-        (heard != heard_at_.end() && now - heard->second < settings_.coordinator_term)) {
-      view.heard_recently.push_back(it.name);
-    }
+  }
+  const time_point since = now - settings_.coordinator_term;
+  view.heard_recently = members_.heard_since(settings_.data_centre, since);
+  if (!election_.platform_reachable()) {
+    // Random probes reach too few members in one term to show a majority.
+    append(out.messages,
+           members_.solicit(now, settings_.data_centre, now - settings_.coordinator_term / 2));
   }
   view.may_stand = own_state_ == wire::member_state::up;
   append(out, call_owner::election, election_.tick(now, view));
@@ -234,7 +239,6 @@
 
 void control_core::handle(time_point now, unix_milliseconds wall, const wire::incoming& from,
                           effects& out) {
-  heard_at_[from.sender] = now;
   const auto visit = [&](const auto& message) {
     using type = std::decay_t<decltype(message)>;
     // The part is checked at the moment of use: a process that was paused past its term must
--- a/source/core/core.h
+++ b/source/core/core.h
@@ -180,8 +180,6 @@
   wire::member_state own_state_ = wire::member_state::up;
   std::uint64_t seen_members_ = 0;
   std::uint64_t seen_documents_ = 0;
-  /// Time of the last message from each member.
-  std::map<std::string, time_point> heard_at_;
   std::vector<weight_hold> holds_;
   std::optional<double> last_weight_;
   std::shared_ptr<const rules_in_force> rules_;
--- a/source/core/status.cpp
+++ b/source/core/status.cpp
@@ -64,10 +64,14 @@
   auto documents = nlohmann::json::array();
   std::set<std::string> lagging;
   for (const auto& highest : documents_.highest_heard()) {
+    const auto reported = documents_.reported_versions(highest.name);
     std::map<std::uint64_t, int> nodes_with;
     for (const auto& it : members) {
-      const std::uint64_t version =
-          version_of(it.name == settings_.name ? own : it.documents, highest.name);
+      const auto report = reported.find(it.name);
+      const std::uint64_t version = it.name == settings_.name
+                                        ? version_of(own, highest.name)
+                                        : std::max(report == reported.end() ? 0 : report->second,
+                                                   version_of(it.documents, highest.name));
       ++nodes_with[version];
       if (version < highest.version) {
         lagging.insert(it.name);
