Recover faster after stalls and ignore timeouts below the usual latency

After a stall the limit at 1 grew by additive increase alone: 33 round trips to three quarters of the even division with 2 nodes and 45 slots (13 with 12 nodes). After timeouts it now grows by half per round up to the latency floor; after refusals it still grows additively, because refusals tell of the slots.

A timeout below the smoothed latency no longer lowers the limit: one account with a timeout of 1 ms would have taken the targets' limits from all others.

--- a/source/routing/routing.h
+++ b/source/routing/routing.h
@@ -99,7 +99,8 @@
                                 const std::vector<std::string>& excluded);
   /// Gives the slot back and updates the limit.
   /// @param latency time since the attempt was sent, also for attempts that were not answered;
-  /// only the latency of answered attempts counts as service latency.
+  /// only the latency of answered attempts counts as service latency. A timeout below the smoothed
+  /// latency does not lower the limit.
   void release(time_point now, const std::string& id, attempt_end end, duration latency);
   /// @return true when the service has at least one target that is not draining or excluded.
   bool has_target(time_point now, const std::string& service) const;
@@ -140,6 +141,8 @@
     std::uint32_t in_flight = 0;
     bool slow_start = true;
     bool must_be_cold = true;
+    /// The last decreases came from timeouts and not from refusals.
+    bool stalled = false;
     /// Attempts sent before this time say nothing about the present process.
     time_point cold_since{};
     double smoothed = 0;
--- a/source/routing/target_table.cpp
+++ b/source/routing/target_table.cpp
@@ -18,6 +18,9 @@
 /// step in each of them would undershoot.
 constexpr double limit_weight = 0.3;
 constexpr double decrease_factor = 0.7;
+/// Growth per round after timeouts, up to the latency floor. A stall ends at once and tells nothing
+/// about the slots, while a refusal does and is followed by additive increase.
+constexpr double stall_recovery = 1.5;
 constexpr std::uint32_t min_round_samples = 4;
 constexpr std::uint32_t max_round_samples = 32;
 /// A limit counts as used when the requests in flight reached this fraction of it.
@@ -57,6 +60,7 @@
 void target_table::make_cold(time_point now, target_row& row) const {
   row.must_be_cold = false;
   row.slow_start = true;
+  row.stalled = false;
   row.cold_since = now;
   row.smoothed = 0;
   row.minimum = 0;
@@ -333,7 +337,10 @@
       const double wanted = row.limit * gradient + additive_step(row.limit);
       row.limit += limit_weight * (wanted - row.limit);
       row.limit = std::max(row.limit, floor);
+    } else if (used && row.stalled && row.limit < floor) {
+      row.limit = std::min(floor, row.limit * stall_recovery);
     } else if (used) {
+      row.stalled = false;
       row.limit += additive_step(row.limit);
     }
   }
@@ -370,6 +377,7 @@
       }
     }
     if (end == attempt_end::shed) {
+      row.stalled = false;
       decrease(now, row, sent);
       return;
     }
@@ -382,7 +390,12 @@
     exclude(now, row, false);
     return;
   case attempt_end::timed_out:
-    decrease(now, row, sent);
+    // A caller may ask for a deadline below the usual latency; that says nothing of the target,
+    // and must not lower the limit for other accounts.
+    if (to_seconds(latency) >= row.smoothed) {
+      row.stalled = true;
+      decrease(now, row, sent);
+    }
     return;
   case attempt_end::cancelled:
     return;
