Resolve stale reads and unread conflicts of the operators' writes

A conflict whose object could not be read, and a read that returned the version before the expected one, were taken for a lost race, although the client may have repeated a write whose first copy took effect. Only a version above the expected one now counts as another write; a conflict that stays unread ends as "unresolved".

Missing lists no longer cause an error for each reference into them.

--- a/source/config/lists.cpp
+++ b/source/config/lists.cpp
@@ -202,6 +202,7 @@
 
 void read_data_centres(object_reader& root, lists& result) {
   unique_names names;
+  const std::size_t errors_before = root.errors().size();
   double sum = 0;
   read_elements(root, "data_centres", [&](object_reader& reader) {
     data_centre_weight value;
@@ -215,7 +216,7 @@
     root.report("data_centres", "weights that add up to " + json(sum).dump(),
                 "lower them until they add up to at most 1; accounts would get more than their "
                 "rate otherwise");
-  } else if (!result.data_centres.empty() && sum <= 0) {
+  } else if (!result.data_centres.empty() && sum <= 0 && root.errors().size() == errors_before) {
     root.report("data_centres", "weights that add up to 0",
                 "give at least one data centre a weight above 0");
   }
@@ -227,7 +228,8 @@
   const std::set<std::string> plan_names = names_of(value.plans);
   for (std::size_t it = 0; it < value.accounts.size(); ++it) {
     const std::string& name = value.accounts[it].plan;
-    if (!name.empty() && !plan_names.contains(name)) {
+    // Without any plan, the missing list is the error to tell about.
+    if (!name.empty() && !plan_names.empty() && !plan_names.contains(name)) {
       report(errors, accounts, element_path("accounts", it) + ".plan", describe(name),
              "add a plan of this name or use an existing one");
     }
@@ -243,7 +245,8 @@
   for (std::size_t it = 0; it < value.plans.size(); ++it) {
     const std::string path = element_path("plans", it);
     const object_reader reader(plans, plans.value["plans"][it], path, errors);
-    check_names(reader, "routes", value.plans[it].routes, &route_names,
+    check_names(reader, "routes", value.plans[it].routes,
+                route_names.empty() ? nullptr : &route_names,
                 "add a route of this name or use an existing one");
     // A bucket that cannot hold one whole token admits no request.
     if (value.plans[it].burst >= 1 && value.plans[it].burst * smallest < 1) {
--- a/source/control/documents.cpp
+++ b/source/control/documents.cpp
@@ -100,7 +100,8 @@
     if (current.version != 0 && write_id_of(current.content) == write_id) {
       return write_result{true, current.version};
     }
-    if (current.version != expected_version) {
+    // A version at or below the expected one comes from before the write or is stale.
+    if (current.version > expected_version) {
       return write_result{false, current.version};
     }
     return std::nullopt;
@@ -131,12 +132,16 @@
       std::optional<write_result> result;
       if (const auto* it = std::get_if<platform::found>(&current)) {
         result = fate_of(it->value);
-      } else if (std::holds_alternative<platform::absent>(current)) {
-        result = fate_of({});
-      } else if (conflict != nullptr && !maybe_written) {
-        // No copy of this write can have caused the conflict.
+      } else if (std::holds_alternative<platform::absent>(current) && expected_version != 0) {
+        // Somebody removed the object.
         result = write_result{false, 0};
       }
+      if (conflict != nullptr && !result) {
+        // The client may have repeated a write whose first copy took effect, so a conflict
+        // alone does not tell that this write lost.
+        reason = "the condition failed and the object could not be read";
+        maybe_written = true;
+      }
       if (result) {
         return *result;
       }
--- a/source/control/keys_commands.cpp
+++ b/source/control/keys_commands.cpp
@@ -111,6 +111,8 @@
                   " in the lists; damaskledgectl show lists the accounts, apply adds one"}));
   }
   const auto made = make_key(given.account, unix_now());
+  // When the fate of the write stays unknown, operators need the id to withdraw the key.
+  outside.progress("giving account " + given.account + " the key with id " + made.second.id);
   BOOST_LEAF_AUTO(version, change_keys(outside, [&](config::keys& current) -> leaf::result<bool> {
                     const auto same =
                         std::find_if(current.records.begin(), current.records.end(),
