Add the operators' page

It lists the fields, defaults and checks of the two lists, every node setting, the commands with examples and the exit codes, what a partitioned data centre means for withdrawn keys, and how to raise and lower rates and weights.

--- a/tests/control/control_test.cpp
+++ b/tests/control/control_test.cpp
@@ -465,6 +465,19 @@
   }
 }
 
+TEST_CASE("The operators' page has every command and exit code") {
+  const std::string page =
+      config::read_file(std::string(DAMASKLEDGE_SOURCE_DIR) + "/docs/operators.md").value();
+  for (const auto* it : {"validate", "show", "diff", "apply", "keys give", "keys list",
+                         "keys withdraw", "keys remove", "status", "explain"}) {
+    CAPTURE(it);
+    CHECK(contains(page, "| `" + std::string(it) + "` | `damaskledgectl " + it));
+  }
+  for (int it = 0; it <= static_cast<int>(exit_code::output_failed); ++it) {
+    CHECK(contains(page, "| " + std::to_string(it) + " | "));
+  }
+}
+
 TEST_CASE("Malformed endpoints and timeouts of the platform are usage errors") {
   const auto code = [](std::string_view endpoints, std::string_view timeout) {
     return leaf::try_handle_all(
