Add the claims library: claim writer with group commit, sealing and withdrawal

A batch is one conditional write of the shard's head. Items of a write whose fate is not known are decided anew on the head that is read next; the writer's own write id short-cuts this. Each decision to grant has a number in its row: a writer takes back a claim whose requester was told unavailable only if the row still has that number, so that it does not remove a claim that another writer has granted to the same request meanwhile. A repeated request gets its grant again only after a further write, so a stale table grants nothing. Full heads are sealed into segments under names of their own; segments are read on first use, end by age, and orphans are removed once the head has moved on.

Public changes in claims.h: settings max_rows, max_waiting and shard_idle, set_writer, destructor and moves; the tables are behind a pointer.

--- a/source/claims/claims.h
+++ b/source/claims/claims.h
@@ -4,11 +4,8 @@
 #pragma once
 
 #include <cstdint>
-#include <deque>
-#include <map>
-#include <optional>
+#include <memory>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 #include "platform/platform.h"
@@ -29,6 +26,13 @@
   std::uint32_t kept_answer_limit = 4'096;
   /// Answers kept in memory over all shards.
   std::uint32_t kept_answers = 10'000;
+  /// Rows held in memory over all shards, about 100 B each. At this number new operations are
+  /// answered `unavailable`; `retention` times the rate of claims has to stay below it.
+  std::uint32_t max_rows = 1'000'000;
+  /// Requests waiting at once over all shards; further ones are answered `unavailable`.
+  std::uint32_t max_waiting = 10'000;
+  /// A shard that got no request for this time is forgotten and read again when needed.
+  seconds shard_idle{600};
 };
 
 /// @return shard of an operation.
@@ -40,10 +44,17 @@
 /// Two writers of one shard are safe: the loser of the conditional update re-reads and merges.
 class claim_writer {
  public:
+  /// @param seed random, different for each process: write ids are drawn from it.
   claim_writer(settings options, std::uint64_t seed);
+  ~claim_writer();
+  claim_writer(claim_writer&& other) noexcept;
+  claim_writer& operator=(claim_writer&& other) noexcept;
 
   /// Forgets everything; used when the node stops being coordinator.
   void reset();
+  /// While `value` is false, new claim requests are answered `not_writer` and new finishes as
+  /// not stored. Initially true.
+  void set_writer(bool value);
   /// Handles claim requests and finishes. Replies come out of this call, or later out of
   /// `tick` and `on_answer`.
   struct effects {
@@ -56,7 +67,8 @@
                     const platform::answer& result);
 
  private:
-  settings options_;
+  struct tables;
+  std::unique_ptr<tables> tables_;
 };
 
 /// Outcome of a claim for the request that asked for it.
--- /dev/null
+++ b/source/claims/shard_codec.cpp
@@ -0,0 +1,139 @@
+#include "claims/shard_codec.h"
+
+#include <sstream>
+
+#include <Poco/Base64Decoder.h>
+#include <Poco/Base64Encoder.h>
+#include <nlohmann/json.hpp>
+
+namespace damaskledge::claims {
+namespace {
+
+template <class Integer>
+void put(std::string& out, Integer value) {
+  for (std::size_t it = 0; it < sizeof(Integer); ++it) {
+    out += static_cast<char>(value >> (8 * it) & 0xFFU);
+  }
+}
+
+template <class Integer>
+Integer get(std::string_view& in) {
+  std::uint64_t value = 0;
+  for (std::size_t it = 0; it < sizeof(Integer); ++it) {
+    value |= std::uint64_t{static_cast<unsigned char>(in[it])} << (8 * it);
+  }
+  in.remove_prefix(sizeof(Integer));
+  return static_cast<Integer>(value);
+}
+
+std::string to_base64(const std::string& bytes) {
+  std::ostringstream out;
+  Poco::Base64Encoder encoder(out);
+  encoder.rdbuf()->setLineLength(0);
+  encoder.write(bytes.data(), static_cast<std::streamsize>(bytes.size()));
+  encoder.close();
+  return out.str();
+}
+
+std::optional<std::string> from_base64(const std::string& text) {
+  try {
+    std::istringstream in(text);
+    Poco::Base64Decoder decoder(in);
+    std::ostringstream out;
+    out << decoder.rdbuf();
+    // The decoder ends quietly at text that is cut short.
+    if (out.str().size() != text.size() / 4 * 3) {
+      return text.empty() ? std::optional<std::string>("") : std::nullopt;
+    }
+    return out.str();
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+}
+
+std::string pack(const std::vector<claim_row>& rows) {
+  std::string bytes;
+  bytes.reserve(rows.size() * row_bytes);
+  for (const claim_row& it : rows) {
+    put(bytes, it.operation.high);
+    put(bytes, it.operation.low);
+    put(bytes, it.body_hash);
+    put(bytes, it.request.high);
+    put(bytes, it.request.low);
+    put(bytes, it.recorded_at);
+    put(bytes, it.grant);
+    put(bytes, it.status);
+    put(bytes, static_cast<std::uint8_t>(it.state));
+  }
+  return to_base64(bytes);
+}
+
+std::optional<std::vector<claim_row>> unpack(const std::string& text) {
+  const std::optional<std::string> bytes = from_base64(text);
+  if (!bytes || bytes->size() % row_bytes != 0) {
+    return std::nullopt;
+  }
+  std::vector<claim_row> rows;
+  rows.reserve(bytes->size() / row_bytes);
+  std::string_view in = *bytes;
+  while (!in.empty()) {
+    claim_row it;
+    it.operation.high = get<std::uint64_t>(in);
+    it.operation.low = get<std::uint64_t>(in);
+    it.body_hash = get<std::uint64_t>(in);
+    it.request.high = get<std::uint64_t>(in);
+    it.request.low = get<std::uint64_t>(in);
+    it.recorded_at = get<std::uint32_t>(in);
+    it.grant = get<std::uint32_t>(in);
+    it.status = get<std::uint16_t>(in);
+    const auto state = get<std::uint8_t>(in);
+    if (state > static_cast<std::uint8_t>(row_state::released)) {
+      return std::nullopt;
+    }
+    it.state = static_cast<row_state>(state);
+    rows.push_back(it);
+  }
+  return rows;
+}
+
+} // namespace
+
+std::string encode(const shard_content& value) {
+  nlohmann::json segments = nlohmann::json::array();
+  for (const segment_reference& it : value.segments) {
+    segments.push_back({to_string(it.id), it.newest, it.rows});
+  }
+  const nlohmann::json out = {{"write_id", to_string(value.write_id)},
+                              {"segments", std::move(segments)},
+                              {"rows", pack(value.rows)}};
+  return out.dump();
+}
+
+std::optional<shard_content> decode(std::string_view text) {
+  const nlohmann::json in = nlohmann::json::parse(text, nullptr, false);
+  if (!in.is_object() || !in.contains("write_id") || !in["write_id"].is_string() ||
+      !in.contains("segments") || !in["segments"].is_array() || !in.contains("rows") ||
+      !in["rows"].is_string()) {
+    return std::nullopt;
+  }
+  const std::optional<id128> write_id = parse_id128(in["write_id"].get<std::string>());
+  std::optional<std::vector<claim_row>> rows = unpack(in["rows"].get<std::string>());
+  if (!write_id || !rows) {
+    return std::nullopt;
+  }
+  shard_content out{*write_id, {}, std::move(*rows)};
+  for (const nlohmann::json& it : in["segments"]) {
+    if (!it.is_array() || it.size() != 3 || !it[0].is_string() || !it[1].is_number_unsigned() ||
+        !it[2].is_number_unsigned()) {
+      return std::nullopt;
+    }
+    const std::optional<id128> id = parse_id128(it[0].get<std::string>());
+    if (!id) {
+      return std::nullopt;
+    }
+    out.segments.push_back({*id, it[1].get<std::uint32_t>(), it[2].get<std::uint32_t>()});
+  }
+  return out;
+}
+
+} // namespace damaskledge::claims
