--- a/tests/shares/allocator_test.cpp
+++ b/tests/shares/allocator_test.cpp
@@ -202,7 +202,13 @@
   const auto later = std::get<wire::token_request>(under_test.tick(at(500)).at(0).body);
   CHECK(later.sequence != first.sequence);
   CHECK(later.process != first.process);
-  CHECK(node_buckets(settings{}, 6).take(at(0), "x") == take_result::refused);
+  // Grants do not name the process, so processes of one node must not share sequence numbers.
+  node_buckets restarted(settings{}, 6);
+  restarted.set_accounts({{"x", whole}});
+  CHECK(restarted.take(at(0), "x") == take_result::refused);
+  restarted.set_coordinator(at(0), {"10.0.0.3", 3}, {7, 0});
+  restarted.take(at(0), "x");
+  CHECK(std::get<wire::token_request>(restarted.tick(at(0)).at(0).body).sequence != first.sequence);
 }
 
 } // namespace
