--- a/source/wire/wire.h
+++ b/source/wire/wire.h
@@ -29,11 +29,13 @@
   /// Connections that the upstream accepts, as announced.
   std::uint32_t connections = 0;
   bool draining = false;
+  /// Changes when the upstream's process is replaced, so that its limit starts cold again.
+  std::uint64_t instance = 0;
 
   bool operator==(const service_record&) const = default;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(service, port, slots, connections, draining);
+    archive(service, port, slots, connections, draining, instance);
   }
 };
 
@@ -61,12 +63,15 @@
   std::vector<service_record> services;
   /// Documents in force at this node.
   std::vector<document_version> documents;
+  /// Random identifier of the node's process; unlike the incarnation it does not change while
+  /// the process lives.
+  std::uint64_t process = 0;
 
   bool operator==(const member_record&) const = default;
   template <class Archive>
   void serialize(Archive& archive) {
     archive(name, data_centre, address, peer_port, caller_port, incarnation, state, services,
-            documents);
+            documents, process);
   }
 };
 
@@ -336,11 +341,42 @@
   }
 };
 
+/// Request in flight at a target that died.
+struct crash_member {
+  id128 fingerprint;
+  /// Microseconds from the start of the attempt to the death.
+  std::uint64_t age_us = 0;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(fingerprint, age_us);
+  }
+};
+
+struct crash_death {
+  std::string target;
+  std::vector<crash_member> members;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(target, members);
+  }
+};
+
+/// Tells all nodes of targets that died and what was in flight there, and of suspects that were
+/// answered since.
+struct crash_notice {
+  std::vector<crash_death> deaths;
+  std::vector<id128> cleared;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(deaths, cleared);
+  }
+};
+
 using message = std::variant<probe, probe_acknowledgement, indirect_probe, member_sync_request,
                              member_sync_reply, document_rumour, document_pull, document_content,
                              document_confirmation, token_request, token_grant, transfer_request,
                              transfer_grant, claim_request, claim_reply, claim_finish,
-                             claim_finish_reply, contexts_ended>;
+                             claim_finish_reply, contexts_ended, crash_notice>;
 
 /// How a message travels: datagrams may be lost, streams arrive in order or fail.
 enum class transport : std::uint8_t { datagram, stream };
