Capture no structured binding in the line test

clang rejects the capture of a structured binding by a lambda, so that the linter could not read the file; g++ accepts it. The checks are the same.

--- a/tests/config/lines_test.cpp
+++ b/tests/config/lines_test.cpp
@@ -57,11 +57,12 @@
     }
     text += "}" + any_gap();
     const auto errors = errors_of(text);
-    for (const auto& [field, line] : expected) {
-      const auto it = std::find_if(errors.begin(), errors.end(),
-                                   [&](const parse_error& each) { return each.field == field; });
+    for (const auto& wanted : expected) {
+      const auto it = std::find_if(errors.begin(), errors.end(), [&](const parse_error& each) {
+        return each.field == wanted.first;
+      });
       RC_ASSERT(it != errors.end());
-      RC_ASSERT(it->line == line);
+      RC_ASSERT(it->line == wanted.second);
     }
   }));
 }
