--- a/source/claims/shard_codec.cpp
+++ b/source/claims/shard_codec.cpp
@@ -1,14 +1,15 @@
 #include "claims/shard_codec.h"
 
-#include <sstream>
-
-#include <Poco/Base64Decoder.h>
-#include <Poco/Base64Encoder.h>
+#include <boost/archive/iterators/base64_from_binary.hpp>
+#include <boost/archive/iterators/binary_from_base64.hpp>
+#include <boost/archive/iterators/transform_width.hpp>
 #include <nlohmann/json.hpp>
 
 namespace damaskledge::claims {
 namespace {
 
+namespace iterators = boost::archive::iterators;
+
 template <class Integer>
 void put(std::string& out, Integer value) {
   for (std::size_t it = 0; it < sizeof(Integer); ++it) {
@@ -26,27 +27,20 @@
   return static_cast<Integer>(value);
 }
 
+// Rows are a multiple of three bytes, so that neither direction meets padding.
 std::string to_base64(const std::string& bytes) {
-  std::ostringstream out;
-  Poco::Base64Encoder encoder(out);
-  encoder.rdbuf()->setLineLength(0);
-  encoder.write(bytes.data(), static_cast<std::streamsize>(bytes.size()));
-  encoder.close();
-  return out.str();
+  using iterator = iterators::base64_from_binary<iterators::transform_width<const char*, 6, 8>>;
+  return {iterator(bytes.data()), iterator(bytes.data() + bytes.size())};
 }
 
 std::optional<std::string> from_base64(const std::string& text) {
+  using iterator = iterators::transform_width<iterators::binary_from_base64<const char*>, 8, 6>;
+  if (text.size() % 4 != 0) {
+    return std::nullopt;
+  }
   try {
-    std::istringstream in(text);
-    Poco::Base64Decoder decoder(in);
-    std::ostringstream out;
-    out << decoder.rdbuf();
-    // The decoder ends quietly at text that is cut short.
-    if (out.str().size() != text.size() / 4 * 3) {
-      return text.empty() ? std::optional<std::string>("") : std::nullopt;
-    }
-    return out.str();
-  } catch (const std::exception&) {
+    return std::string(iterator(text.data()), iterator(text.data() + text.size()));
+  } catch (const iterators::dataflow_exception&) {
     return std::nullopt;
   }
 }
