Judge the service of an account in stretches of five seconds

In a trial against an upstream that refused a fifth of the calls in a surge, the account showed as 100% served: calls answered above its rate during the surge made up for calls inside its rate that were lost.

Good calls now make up for calls inside the rate only within the same stretch of 5 s.

--- a/source/load/load.h
+++ b/source/load/load.h
@@ -306,8 +306,9 @@
   /// Calls within the plan's rate and burst.
   std::uint64_t in_rate = 0;
   std::uint64_t good = 0;
-  /// min(good, in_rate) / in_rate. Which of the calls of an account above its rate are
-  /// answered is up to the nodes, so any of them counts.
+  /// Sum of min(good, in_rate) over stretches of `served_window`, divided by `in_rate`. Which
+  /// of the calls of an account above its rate are answered is up to the nodes, so any call of
+  /// the same stretch counts.
   double served = 1;
   std::uint64_t refused_attempts = 0;
   /// Refusals while the plan's bucket, charged with the admitted attempts, had tokens to
@@ -370,6 +371,9 @@
 
 /// A send is late from here on; below it are the wake-up times of the tool's own threads.
 inline constexpr milliseconds late_send_threshold{5};
+/// Stretch in which any answered call makes up for one inside the rate. Calls answered above
+/// the rate at one time are no excuse for calls lost at another.
+inline constexpr seconds served_window{5};
 /// Window and step in which recovery is looked for.
 inline constexpr milliseconds recovery_window{1'000};
 inline constexpr milliseconds recovery_step{100};
--- a/source/load/measures.cpp
+++ b/source/load/measures.cpp
@@ -134,16 +134,28 @@
   out.slack_tokens = std::max(1.0, value.slack_fraction * demand.burst) +
                      demand.rate * in_seconds(value.slack_time);
 
+  struct window_counts {
+    std::uint64_t in_rate = 0;
+    std::uint64_t good = 0;
+  };
+  std::map<duration::rep, window_counts> windows;
   token_judge offered(demand.rate, demand.burst);
   for (std::size_t it = 0; it < result.arrivals.size(); ++it) {
     if (result.arrivals[it].account != index) {
       continue;
     }
     ++out.offered;
-    out.in_rate += offered.take(result.arrivals[it].at) ? 1 : 0;
-    out.good += calls[it].good ? 1 : 0;
+    window_counts& window = windows[result.arrivals[it].at / served_window];
+    window.in_rate += offered.take(result.arrivals[it].at) ? 1 : 0;
+    window.good += calls[it].good ? 1 : 0;
+  }
+  std::uint64_t served = 0;
+  for (const auto& [number, it] : windows) {
+    out.in_rate += it.in_rate;
+    out.good += it.good;
+    served += std::min(it.good, it.in_rate);
   }
-  out.served = ratio(std::min(out.good, out.in_rate), out.in_rate);
+  out.served = ratio(served, out.in_rate);
 
   std::vector<const attempt_record*> attempts;
   for (const attempt_record& it : result.attempts) {
--- a/tests/load/measures_test.cpp
+++ b/tests/load/measures_test.cpp
@@ -274,6 +274,23 @@
   CHECK(above < 1'100);
 }
 
+// Guards against a measure in which a generous surge hides an outage.
+TEST_CASE("calls answered above the rate do not make up for calls lost at another time") {
+  scenario value = scenario_of(100, 100, 50);
+  value.phases = {{"outage", seconds{0}, seconds{10}, 1, {}},
+                  {"surge", seconds{10}, seconds{10}, 3, {}}};
+  run_result result = answered(value, milliseconds{5});
+  for (attempt_record& it : result.attempts) {
+    if (it.intended < seconds{10}) {
+      it.result = result_kind::timed_out;
+    }
+  }
+  const report out = measure(value, result, std::nullopt);
+  CHECK(out.accounts.at(0).good > out.accounts.at(0).in_rate);
+  CHECK(out.accounts.at(0).served > 0.4);
+  CHECK(out.accounts.at(0).served < 0.6);
+}
+
 TEST_CASE("the worst-served account is the one with the lowest share") {
   scenario value = scenario_of(100, 500, 500);
   value.accounts.push_back(value.accounts.front());
