Count retransmissions per scope, and repeat synchronisation while it brings changes

One retransmission count for all receivers was used up inside the larger data centres before the small one had heard of the change; members of the own data centre and others are now counted apart. A reply with fewer than eight changes ended the repair of a lagging table; now any reply that brings a change is followed by another request.

--- a/source/membership/member_table.cpp
+++ b/source/membership/member_table.cpp
@@ -24,9 +24,6 @@
 /// Leaves room for the frame header, the sender and an own record of usual size.
 constexpr std::size_t max_gossiped_record_bytes = 800;
 constexpr milliseconds join_period{1'000};
-/// A reply with this many changes shows that the table was far behind; a pushed datagram of
-/// ordinary changes holds fewer.
-constexpr std::uint64_t many_changes = 8;
 /// A reply larger than this is cut; the datagram gossip brings the rest.
 constexpr std::size_t max_sync_bytes = wire::max_frame_bytes / 2;
 
@@ -103,7 +100,7 @@
 
 void member_table::note_change(member_row& row) {
   row.bytes = wire::element_bytes(row.record);
-  row.transmissions = 0;
+  row.transmissions = {};
   // A record that fits in no datagram spreads by synchronisation alone.
   if (row.bytes <= max_gossiped_record_bytes || row.record.name == self_.name) {
     row.push_pending = true;
@@ -159,7 +156,14 @@
   }
 }
 
-void member_table::merge(time_point now, const wire::member_record& record, bool direct) {
+std::size_t member_table::scope_of(const std::string& name) const {
+  const auto row = rows_.find(name);
+  return row != rows_.end() && row->second.record.data_centre == self_.data_centre ? 0 : 1;
+}
+
+void member_table::merge(time_point now, const wire::member_record& record,
+                         const std::string& sender) {
+  const bool direct = record.name == sender;
   if (record.name.empty() || record.peer_port == 0 || record.incarnation > max_incarnation) {
     return;
   }
@@ -212,7 +216,7 @@
       row.bytes = wire::element_bytes(row.record);
     } else if (record.state == row.record.state) {
       // The sender knows this change already, so fewer repetitions are needed.
-      ++row.transmissions;
+      ++row.transmissions[scope_of(sender)];
     }
   }
 }
@@ -220,7 +224,7 @@
 void member_table::merge_facts(time_point now, const wire::gossip& facts,
                                const std::string& sender) {
   for (const auto& it : facts.members) {
-    merge(now, it, it.name == sender);
+    merge(now, it, sender);
   }
 }
 
@@ -333,20 +337,24 @@
   if (queue_.empty()) {
     return;
   }
+  rebuild_peers();
   const auto limit =
       options_.retransmit_factor *
       static_cast<std::uint32_t>(std::ceil(std::log2(static_cast<double>(rows_.size()) + 1)));
   std::erase_if(queue_, [&](member_row* row) {
     // The own record rides on every probe and needs no place in the queue after its push.
-    const bool done =
-        !row->push_pending && (row->transmissions >= limit || row->record.name == self_.name);
+    const auto& counts = row->transmissions;
+    const bool spread = (counts[0] >= limit || local_peers_.empty()) &&
+                        (counts[1] >= limit || remote_peers_.empty());
+    const bool done = !row->push_pending && (spread || row->record.name == self_.name);
     row->queued = !done;
     return done;
   });
+  const auto scope = scope_of(receiver);
   std::vector<member_row*> changed;
   for (auto* row : queue_) {
-    if ((!push_only || row->push_pending) && row->record.name != receiver &&
-        row->record.name != self_.name) {
+    if ((push_only ? row->push_pending : row->transmissions[scope] < limit) &&
+        row->record.name != receiver && row->record.name != self_.name) {
       changed.push_back(row);
     }
   }
@@ -355,8 +363,8 @@
   constexpr std::size_t most_per_datagram = 20;
   const auto middle =
       changed.begin() + static_cast<std::ptrdiff_t>(std::min(most_per_datagram, changed.size()));
-  std::partial_sort(changed.begin(), middle, changed.end(), [](const auto* a, const auto* b) {
-    return a->transmissions < b->transmissions;
+  std::partial_sort(changed.begin(), middle, changed.end(), [scope](const auto* a, const auto* b) {
+    return a->transmissions[scope] < b->transmissions[scope];
   });
   changed.erase(middle, changed.end());
   for (auto* row : changed) {
@@ -365,7 +373,7 @@
     }
     room -= row->bytes;
     facts.members.push_back(row->record);
-    ++row->transmissions;
+    ++row->transmissions[scope];
   }
 }
 
@@ -523,6 +531,7 @@
       targets.push_back(address_of(rows_.at(name).record));
     }
   }
+  sync_pending_ = targets;
   for (const auto& target : targets) {
     out.push_back({target, wire::transport::stream, wire::member_sync_request{self_}});
   }
@@ -552,7 +561,7 @@
     }
     room -= std::min(room, own_row.bytes);
   }
-  add_changes(body.facts, room, {}, true);
+  add_changes(body.facts, room, peers.front(), true);
   for (const auto& record : body.facts.members) {
     rows_.at(record.name).push_pending = false;
   }
@@ -628,7 +637,7 @@
                          now + 2 * options_.probe_timeout};
     send_probe(sequence, request->subject, request->subject_address, out);
   } else if (const auto* sync = std::get_if<wire::member_sync_request>(&from.body)) {
-    merge(now, sync->self, sync->self.name == from.sender);
+    merge(now, sync->self, from.sender);
     wire::member_sync_reply body;
     std::size_t bytes = 0;
     for (const auto& [name, row] : rows_) {
@@ -651,7 +660,7 @@
         }
       }
     }
-    if (changes_ - before >= many_changes) {
+    if (std::erase(sync_pending_, from.from) > 0 && changes_ != before) {
       const auto by_size =
           milliseconds(table_bytes() * 1'000 / std::max(1U, options_.repair_bytes_per_s));
       next_sync_ = std::min(next_sync_, now + std::max(options_.repair_period, by_size));
--- a/source/membership/membership.h
+++ b/source/membership/membership.h
@@ -3,6 +3,7 @@
 /// probes. Source: Das, Gupta, Motivala, "SWIM" (2002); Dadgar et al., "Lifeguard" (2017).
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -30,8 +31,8 @@
   /// The period grows with the table, so that synchronisation sends at most `sync_bytes_per_s`.
   milliseconds sync_period{30'000};
   std::uint32_t sync_bytes_per_s = 512;
-  /// While replies bring many changes, as at a start of all nodes or after a partition, full state
-  /// is asked again after this time and at this rate.
+  /// While replies bring changes, as at a start of all nodes or after a partition, full state is
+  /// asked again after this time and at this rate.
   milliseconds repair_period{2'000};
   std::uint32_t repair_bytes_per_s = 8'192;
   /// New changes are pushed to `push_fanout` members at once, in batches this far apart.
@@ -106,8 +107,10 @@
     time_point deadline = time_point::max();
     time_point heard_at = time_point::min();
     time_point solicited_at = time_point::min();
-    /// Messages on which the latest change has ridden; at the limit it rides on no more.
-    std::uint32_t transmissions = 0;
+    /// Messages on which the latest change has ridden to members of the own data centre [0] and of
+    /// others [1]; at the limit it rides on no more there. One count for both would be used up
+    /// within the data centre before a small one next to it has heard of the change.
+    std::array<std::uint32_t, 2> transmissions{};
     bool queued = false;
     bool push_pending = false;
   };
@@ -136,7 +139,9 @@
   void note_change(member_row& row);
   void leave_queue(member_row& row);
   void set_state(time_point now, member_row& row, wire::member_state state);
-  void merge(time_point now, const wire::member_record& record, bool direct);
+  /// @return index into `member_row::transmissions` for messages from or to a member.
+  std::size_t scope_of(const std::string& name) const;
+  void merge(time_point now, const wire::member_record& record, const std::string& sender);
   void merge_self(time_point now, const wire::member_record& record);
   void merge_facts(time_point now, const wire::gossip& facts, const std::string& sender);
   void compensate_pause(time_point now);
@@ -182,6 +187,8 @@
   std::optional<time_point> last_tick_;
   time_point next_probe_{};
   time_point next_sync_{};
+  /// Members asked for their state that have not answered.
+  std::vector<endpoint> sync_pending_;
   time_point next_push_{};
   time_point next_reconnect_{};
   time_point next_expiry_ = time_point::max();
