Serve waiting calls by their own excluded targets, and when an exclusion ends

A queued retry could get the target that had just refused it, a target whose exclusion ended woke nobody, and refusals by upstreams did not raise the shed level.

--- a/source/node/dispatcher.cpp
+++ b/source/node/dispatcher.cpp
@@ -1,7 +1,6 @@
 #include "node/dispatcher.h"
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
 namespace damaskledge::node {
@@ -15,6 +14,9 @@
 slot_result dispatcher::acquire(const slot_request& wanted) {
   std::unique_lock lock(mutex_);
   const time_point start = clock_type::now();
+  if (queue_.length(wanted.service) > 0) {
+    refresh_queues(start);
+  }
   // A call that arrives while others wait takes its place among them.
   if (queue_.length(wanted.service) == 0) {
     if (auto slot = targets_.acquire(start, wanted.service, wanted.excluded)) {
@@ -40,7 +42,9 @@
     return slot_refusal::overloaded;
   }
   waiter own;
+  own.excluded = &wanted.excluded;
   waiters_[*pushed.own] = &own;
+  queued_services_.insert(wanted.service);
   while (!own.decided && clock_type::now() < wanted.deadline) {
     own.wake.wait_until(lock, wanted.deadline);
   }
@@ -68,24 +72,33 @@
   const std::lock_guard lock(mutex_);
   const time_point now = clock_type::now();
   targets_.release(now, target, end, latency);
+  if (end == routing::attempt_end::shed) {
+    shed_.observe_refusal(now, service);
+  }
   serve_queue(now, service);
 }
 
 void dispatcher::serve_queue(time_point now, const std::string& service) {
-  while (queue_.length(service) > 0) {
-    auto slot = targets_.acquire(now, service, {});
+  while (const auto next = queue_.front(now, service)) {
+    waiter& waiting = *waiters_.at(*next);
+    auto slot = targets_.acquire(now, service, *waiting.excluded);
     if (!slot) {
       return;
     }
-    const auto next = queue_.pop(now, service);
-    const auto found = next ? waiters_.find(*next) : waiters_.end();
-    if (found == waiters_.end()) {
-      targets_.release(now, slot->id, routing::attempt_end::cancelled, duration{0});
-      return;
-    }
-    found->second->decided = true;
-    found->second->slot = std::move(slot);
-    found->second->wake.notify_one();
+    queue_.remove(*next);
+    waiting.decided = true;
+    waiting.slot = std::move(slot);
+    waiting.wake.notify_one();
+  }
+}
+
+void dispatcher::refresh_queues(time_point now) {
+  for (const auto it : queue_.expire(now)) {
+    drop(it);
+  }
+  // The end of an exclusion frees a target without a release.
+  for (const std::string& it : queued_services_) {
+    serve_queue(now, it);
   }
 }
 
@@ -112,22 +125,14 @@
   const std::lock_guard lock(mutex_);
   const time_point now = clock_type::now();
   targets_.set_targets(now, targets, calling_nodes);
-  std::set<std::string> services;
-  for (const auto& it : targets) {
-    services.insert(it.service);
-  }
-  for (const std::string& it : services) {
-    serve_queue(now, it);
-  }
+  refresh_queues(now);
 }
 
 void dispatcher::tick(time_point now) {
   const std::lock_guard lock(mutex_);
   targets_.tick(now);
   shed_.tick(now);
-  for (const auto it : queue_.expire(now)) {
-    drop(it);
-  }
+  refresh_queues(now);
 }
 
 void dispatcher::heard_shed_level(time_point now, const std::string& service,
--- a/source/node/dispatcher.h
+++ b/source/node/dispatcher.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -65,12 +66,16 @@
 
  private:
   struct waiter {
+    /// Targets that this call has tried.
+    const std::vector<std::string>* excluded = nullptr;
     std::condition_variable wake;
     bool decided = false;
     std::optional<routing::target_table::choice> slot;
   };
 
   void serve_queue(time_point now, const std::string& service);
+  /// Ends the waits that are over and hands free slots to the calls that still wait.
+  void refresh_queues(time_point now);
   void drop(routing::waiting_queue::ticket which);
   slot_result wait_in_queue(std::unique_lock<std::mutex>& lock, time_point start,
                             const slot_request& wanted);
@@ -81,6 +86,8 @@
   routing::waiting_queue queue_;
   admission::shed_table shed_;
   std::map<routing::waiting_queue::ticket, waiter*> waiters_;
+  /// Services whose queues have been used.
+  std::set<std::string> queued_services_;
 };
 
 } // namespace damaskledge::node
--- a/source/routing/routing.h
+++ b/source/routing/routing.h
@@ -214,6 +214,8 @@
                    time_point deadline);
   /// Next call to try, most important first; it leaves the queue.
   std::optional<ticket> pop(time_point now, const std::string& service);
+  /// The call that `pop` would return; it stays in the queue.
+  std::optional<ticket> front(time_point now, const std::string& service);
   /// Calls whose wait or deadline has passed; they leave the queue.
   std::vector<ticket> expire(time_point now);
   /// @return false when the ticket is no longer queued.
--- a/source/routing/waiting_queue.cpp
+++ b/source/routing/waiting_queue.cpp
@@ -69,6 +69,15 @@
 
 std::optional<waiting_queue::ticket> waiting_queue::pop(time_point now,
                                                         const std::string& service) {
+  const auto first = front(now, service);
+  if (first) {
+    remove(*first);
+  }
+  return first;
+}
+
+std::optional<waiting_queue::ticket> waiting_queue::front(time_point now,
+                                                          const std::string& service) {
   const auto found = services_.find(service);
   if (found == services_.end() || found->second.length == 0) {
     return std::nullopt;
@@ -76,8 +85,7 @@
   service_queue& queue = found->second;
   observe(now, queue);
   const auto is_due = [&](const auto& call) { return call.second.expires > now; };
-  for (std::size_t it = 0; it < queue.classes.size(); ++it) {
-    const auto& calls = queue.classes.at(it);
+  for (const auto& calls : queue.classes) {
     std::optional<ticket> next;
     if (queue.overloaded) {
       const auto call = std::find_if(calls.rbegin(), calls.rend(), is_due);
@@ -87,7 +95,6 @@
       next = call == calls.end() ? std::nullopt : std::optional(call->first);
     }
     if (next) {
-      erase(queue, it, *next);
       return next;
     }
   }
