Aim the codec's enumerator checks at the changed messages

The check of an unknown member state then hit a list size, and the one of an unknown message type used a type that now exists; both still passed.

--- a/tests/wire/codec_test.cpp
+++ b/tests/wire/codec_test.cpp
@@ -183,7 +183,8 @@
 
 TEST_CASE("Changed bytes under a valid authenticator neither throw nor read out of bounds") {
   CHECK(rc::check([] {
-    auto payload = payload_of(arbitrary_message(*rc::gen::inRange<std::size_t>(0, 18)));
+    auto payload = payload_of(
+        arbitrary_message(*rc::gen::inRange<std::size_t>(0, std::variant_size_v<message>)));
     const auto changes = *rc::gen::inRange(1, 6);
     for (int it = 0; it < changes; ++it) {
       payload[*rc::gen::inRange<std::size_t>(0, payload.size())] =
@@ -218,14 +219,18 @@
 
   payload = payload_of(claim_finish_reply{1, true});
   const std::size_t type_at = payload.size() - 9 - 4;
-  for (const char type : {'\x12', '\x7f', '\xff'}) {
+  for (const char type : {static_cast<char>(std::variant_size_v<message>), '\x7f', '\xff'}) {
     payload[type_at] = type;
     CHECK(error_of(frame_of(payload)) == frame_error::malformed_payload);
   }
 
   member_record record;
   payload = payload_of(member_sync_request{record});
-  payload[payload.size() - 9] = 5;
+  // Behind the state come the sizes of two empty lists and the process identifier.
+  auto& state = payload[payload.size() - 17];
+  state = static_cast<char>(member_state::dead);
+  CHECK_FALSE(error_of(frame_of(payload)).has_value());
+  state = static_cast<char>(member_state::dead) + 1;
   CHECK(error_of(frame_of(payload)) == frame_error::malformed_payload);
 }
 
