Test at most once with real programs under failures

The harness of tests/failure becomes a library, and the first test program submits dispatches at many nodes while nodes are killed or paused, the platform fails and a data centre is cut off. The execution logs of the upstreams decide; each case also checks that no request that was told "not-run" is in a log.

damaskledgectl prints the id of a new key on standard error, so the harness keeps the two outputs apart; before, its JSON could not be read.

--- a/tests/failure/fleet.cpp
+++ b/tests/failure/fleet.cpp
@@ -1,6 +1,7 @@
 #include "failure/fleet.h"
 
 #include <algorithm>
+#include <set>
 #include <sstream>
 #include <utility>
 
@@ -22,6 +23,56 @@
 
 } // namespace
 
+fleet_plan small_plan(std::uint8_t subnet, const std::string& dispatch_inner) {
+  fleet_plan result;
+  result.subnet = subnet;
+  result.services = {{.name = "dispatch", .inner = dispatch_inner}, {.name = "gate"}};
+  result.accounts = {{"accounts",
+                      {{{"name", "crews"}, {"plan", "large"}},
+                       {{"name", "growers"}, {"plan", "large"}},
+                       {{"name", "reader"}, {"plan", "small"}}}}};
+  const nlohmann::json routes{"confirm", "deposit", "state", "open-gate", "gate-state"};
+  result.plans = {{"plans",
+                   {{{"name", "large"}, {"rate", 3'000}, {"burst", 3'000}, {"routes", routes}},
+                    {{"name", "small"}, {"rate", 30}, {"burst", 30}, {"routes", routes}}}},
+                  {"routes",
+                   {{{"name", "confirm"},
+                     {"service", "dispatch"},
+                     {"method", "POST"},
+                     {"path", "/confirm"},
+                     {"idempotent", false},
+                     {"operation_field", "/dispatch_number"},
+                     {"deadline", "4s"}},
+                    {{"name", "deposit"},
+                     {"service", "dispatch"},
+                     {"method", "POST"},
+                     {"path", "/deposits"},
+                     {"idempotent", false},
+                     {"deadline", "4s"}},
+                    {{"name", "state"},
+                     {"service", "dispatch"},
+                     {"method", "GET"},
+                     {"path", "/state"},
+                     {"deadline", "4s"}},
+                    {{"name", "open-gate"},
+                     {"service", "gate"},
+                     {"method", "POST"},
+                     {"path", "/open"},
+                     {"idempotent", false},
+                     {"operation_field", "/dispatch_number"},
+                     {"deadline", "4s"}},
+                    {{"name", "gate-state"},
+                     {"service", "gate"},
+                     {"method", "GET"},
+                     {"path", "/state"},
+                     {"deadline", "4s"}}}},
+                  {"data_centres", nlohmann::json::array()}};
+  for (const std::string& it : result.data_centres) {
+    result.plans["data_centres"].push_back({{"name", it}, {"weight", 0.3333}});
+  }
+  return result;
+}
+
 fleet::fleet(const std::string& test, fleet_plan plan)
     : folder_(make_test_folder(test)), plan_(std::move(plan)) {
   std::size_t dealt = 0;
@@ -93,6 +144,7 @@
       "--node=" + with_port(it.address, local_port),
       "--slots=" + std::to_string(it.service.slots),
       "--service_time_ms=" + std::to_string(it.service.service_time_ms),
+      "--distribution=constant",
       "--announce_interval_ms=500",
       "--log=" + folder_ + "/" + it.name + "-executions-" + std::to_string(it.starts)};
   if (!it.service.inner.empty()) {
@@ -185,13 +237,14 @@
 }
 
 control_result fleet::control(const std::vector<std::string>& arguments) {
-  const std::string log = folder_ + "/control-" + std::to_string(++control_runs_) + ".txt";
+  const std::string log = folder_ + "/control-" + std::to_string(++control_runs_);
   std::vector<std::string> words = arguments;
   words.push_back("--platform=" + to_string(platform_endpoint()));
-  child_process run(program_folder() + "/damaskledgectl", words, log);
+  child_process run(program_folder() + "/damaskledgectl", words, log + ".txt", log + ".errors");
   control_result result;
   result.exit_code = run.wait(milliseconds(60'000)).value_or(-1);
-  result.output = read_text(log);
+  result.output = read_text(log + ".txt");
+  result.errors = read_text(log + ".errors");
   return result;
 }
 
@@ -212,7 +265,89 @@
     request.headers["Authorization"] = "Bearer " + key(account);
   }
   request.body = body;
-  return exchange(caller_endpoint(node), request);
+  call_record entry;
+  entry.account = account;
+  entry.target = target;
+  entry.body = body;
+  entry.sent = clock_type::now();
+  const http_answer answer = exchange(caller_endpoint(node), request);
+  entry.ended = clock_type::now();
+  entry.status = answer.status;
+  entry.reason = answer.header("Damaskledge-Reason");
+  entry.outcome = answer.header("Damaskledge-Outcome");
+  entry.request_id = answer.header("Damaskledge-Request-Id");
+  record(std::move(entry));
+  return answer;
+}
+
+void fleet::record(call_record entry) {
+  const std::lock_guard lock(records_mutex_);
+  records_.push_back(std::move(entry));
+}
+
+std::vector<call_record> fleet::records() const {
+  const std::lock_guard lock(records_mutex_);
+  return records_;
+}
+
+std::vector<std::string> fleet::false_refusals() {
+  std::set<std::string> executed;
+  for (const service_plan& service : plan_.services) {
+    for (const auto& line : executions(service.name)) {
+      executed.insert(line.value("request_id", ""));
+    }
+  }
+  std::vector<std::string> result;
+  for (const call_record& it : records()) {
+    if (it.outcome == "not-run" && executed.contains(it.request_id)) {
+      result.push_back(it.request_id + " " + it.reason);
+    }
+  }
+  return result;
+}
+
+std::size_t fleet::most_executions(const std::string& service, const std::string& field) {
+  std::map<std::string, std::size_t> counts;
+  std::size_t result = 0;
+  for (const auto& line : executions(service)) {
+    if (const auto value = line.value(field, ""); !value.empty()) {
+      result = std::max(result, ++counts[value]);
+    }
+  }
+  return result;
+}
+
+std::size_t fleet::count_executions(const std::string& service, const std::string& field,
+                                    const std::string& value) {
+  const auto lines = executions(service);
+  return static_cast<std::size_t>(std::count_if(
+      lines.begin(), lines.end(), [&](const auto& it) { return it.value(field, "") == value; }));
+}
+
+void fleet::upstream_behaviour(const std::string& service, const nlohmann::json& behaviour) {
+  for (const machine* it : of_service(service)) {
+    if (it->upstream && it->upstream->running()) {
+      exchange(upstream_endpoint(*it),
+               {.method = "POST", .target = "/control", .body = behaviour.dump()});
+    }
+  }
+}
+
+machine* fleet::coordinator(const std::string& data_centre, const machine& seen_by) {
+  const auto status = exchange(operator_endpoint(seen_by), {.target = "/status"}).json();
+  if (!status.is_object() || !status["coordinators"].contains(data_centre)) {
+    return nullptr;
+  }
+  const std::string holder = status["coordinators"][data_centre].value("holder", "");
+  const auto found = std::find_if(machines_.begin(), machines_.end(),
+                                  [&](const machine& it) { return it.name == holder; });
+  return found == machines_.end() ? nullptr : &*found;
+}
+
+bool fleet::violated() const {
+  return std::any_of(machines_.begin(), machines_.end(), [&](const machine& it) {
+    return read_text(folder_ + "/" + it.name + ".log").find("invariant=") != std::string::npos;
+  });
 }
 
 void fleet::platform_faults(const nlohmann::json& faults) const {
@@ -237,6 +372,10 @@
   }
 }
 
+void fleet::cut_platform(const std::string& data_centre) {
+  write_file(cut_file(data_centre), to_string(platform_endpoint()) + "\n");
+}
+
 void fleet::heal() {
   for (const std::string& it : plan_.data_centres) {
     write_file(cut_file(it), "");
--- a/tests/failure/fleet.h
+++ b/tests/failure/fleet.h
@@ -3,9 +3,11 @@
 /// upstream stand-ins in several data centres.
 #pragma once
 
+#include <atomic>
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <mutex>
 #include <optional>
 #include <string>
 #include <vector>
@@ -16,12 +18,12 @@
 
 /// Upstreams of one service; one VM each, dealt out over the data centres in turn.
 struct service_plan {
-  std::string name;
+  std::string name = {};
   std::uint32_t targets = 3;
   std::uint32_t slots = 20;
   double service_time_ms = 5;
   /// Inner calls, in the form of the stand-in's --inner.
-  std::string inner;
+  std::string inner = {};
 };
 
 struct fleet_plan {
@@ -46,10 +48,29 @@
   std::uint64_t starts = 0;
 };
 
+/// Three data centres, and two services "dispatch" and "gate" with one target in each of them.
+/// Accounts "crews" and "growers" have large rates, "reader" has 30/s with a burst of 30.
+/// @param dispatch_inner inner calls of "dispatch", in the form of the stand-in's --inner.
+fleet_plan small_plan(std::uint8_t subnet, const std::string& dispatch_inner = "");
+
+/// What a caller was told about one request.
+struct call_record {
+  std::string account;
+  std::string target;
+  std::string body;
+  int status = 0;
+  std::string reason;
+  std::string outcome;
+  std::string request_id;
+  time_point sent;
+  time_point ended;
+};
+
 /// Result of a run of damaskledgectl.
 struct control_result {
   int exit_code = -1;
   std::string output;
+  std::string errors;
   nlohmann::json json() const { return nlohmann::json::parse(output, nullptr, false); }
 };
 
@@ -89,11 +110,28 @@
   http_answer call(const machine& node, const std::string& account, const std::string& method,
                    const std::string& target, const std::string& body = "",
                    std::map<std::string, std::string> headers = {});
+  /// Records an answer that a test got by other means than `call`.
+  void record(call_record entry);
+  std::vector<call_record> records() const;
+  /// Requests that were told "not-run" although an upstream has logged an execution of them.
+  /// Empty as long as promise P8 holds.
+  std::vector<std::string> false_refusals();
+  /// Largest number of executions with the same value of a field of the log.
+  std::size_t most_executions(const std::string& service, const std::string& field);
+  /// Executions whose field has this value.
+  std::size_t count_executions(const std::string& service, const std::string& field,
+                               const std::string& value);
+  /// Changes the behaviour of all upstreams of a service.
+  void upstream_behaviour(const std::string& service, const nlohmann::json& behaviour);
+  /// @return the node that coordinates a data centre as `seen_by` knows it, or nullptr.
+  machine* coordinator(const std::string& data_centre, const machine& seen_by);
   /// Sets faults of the platform stand-in.
   void platform_faults(const nlohmann::json& faults) const;
   nlohmann::json platform_counters() const;
   /// Stops all traffic between a data centre and everything outside it.
   void cut(const std::string& data_centre, bool from_platform);
+  /// Stops only the traffic between a data centre and the platform.
+  void cut_platform(const std::string& data_centre);
   void heal();
   /// Executions logged by all upstreams of a service, in no order.
   std::vector<nlohmann::json> executions(const std::string& service);
@@ -101,6 +139,8 @@
   std::uint64_t leaked_keys();
   /// Sum over nodes of a metric's samples whose line starts with `prefix`.
   double metric(const std::string& prefix);
+  /// @return true when some node's log names a broken promise (`report_violation`).
+  bool violated() const;
   const std::string& folder() const { return folder_; }
 
  private:
@@ -116,7 +156,9 @@
   std::vector<machine> machines_;
   std::unique_ptr<child_process> platform_;
   std::map<std::string, given_key> keys_;
-  std::uint64_t control_runs_ = 0;
+  std::atomic<std::uint64_t> control_runs_ = 0;
+  mutable std::mutex records_mutex_;
+  std::vector<call_record> records_;
 };
 
 } // namespace damaskledge::failure
--- a/tests/failure/process.h
+++ b/tests/failure/process.h
@@ -6,10 +6,12 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
 
+#include <Poco/Net/HTTPClientSession.h>
 #include <nlohmann/json.hpp>
 #include <sys/types.h>
 
@@ -20,9 +22,10 @@
 /// A program started by a test. Its destructor ends it.
 class child_process {
  public:
-  /// @param log file that receives standard output and standard error.
+  /// @param log file that receives standard output.
+  /// @param errors file that receives standard error; empty for `log`.
   child_process(const std::string& program, const std::vector<std::string>& arguments,
-                const std::string& log);
+                const std::string& log, const std::string& errors = "");
   ~child_process();
   child_process(child_process&& other) noexcept;
   child_process& operator=(child_process&& other) noexcept;
@@ -50,6 +53,8 @@
 struct http_answer {
   /// 0 when there was no whole answer.
   int status = 0;
+  /// No connection was opened, so nothing was sent.
+  bool connect_failed = false;
   std::map<std::string, std::string> headers;
   std::string body;
 
@@ -59,15 +64,42 @@
 
 struct http_request {
   std::string method = "GET";
-  std::string target;
-  std::map<std::string, std::string> headers;
-  std::string body;
+  std::string target = {};
+  std::map<std::string, std::string> headers = {};
+  std::string body = {};
   milliseconds timeout{5'000};
 };
 
 /// Makes one request on a new connection.
 http_answer exchange(const endpoint& to, const http_request& request);
 
+/// A connection that is kept open between requests.
+class kept_connection {
+ public:
+  explicit kept_connection(endpoint to);
+  ~kept_connection();
+  kept_connection(kept_connection&&) noexcept;
+  kept_connection& operator=(kept_connection&&) = delete;
+  kept_connection(const kept_connection&) = delete;
+  kept_connection& operator=(const kept_connection&) = delete;
+
+  http_answer exchange(const http_request& request);
+  /// @return connections opened so far; 1 while the first one is still in use.
+  std::uint32_t opened() const { return opened_; }
+
+ private:
+  endpoint to_;
+  std::unique_ptr<Poco::Net::HTTPClientSession> session_;
+  std::uint32_t opened_ = 0;
+};
+
+enum class after_sending : std::uint8_t { keep_open, close_output };
+
+/// Sends bytes on a new TCP connection.
+/// @return what comes back until the other side closes or `limit` has passed.
+std::string send_raw(const endpoint& to, const std::string& bytes, milliseconds limit,
+                     after_sending then = after_sending::keep_open);
+
 /// Polls until `condition` holds.
 /// @return false when it did not hold within `limit`.
 bool wait_until(const std::function<bool()>& condition, milliseconds limit);
