Keep retries of a call tree within the budget when refusals are passed on

An upstream may answer 503 "not-run" when its inner call was refused as "not-run" (docs/upstreams.md). The node of its own caller then retried with its full remaining budget, from which the retries of the inner call had not been taken: a chain of two refusing services made 5 outer and 11 inner attempts, 10 retries with a budget of 4. The context table was ruled out: it kept the budget of each context, but each outer attempt has a new context.

An inner call that the node has retried is now refused as "unknown", so the upstream must not pass it on as "not-run". This is what design 2.7 relies on: an attempt is retried only when its subtree has spent nothing. The claim of a non-idempotent inner call is still released.

--- a/source/node/request_path.cpp
+++ b/source/node/request_path.cpp
@@ -227,8 +227,14 @@
     if (refused->state == outcome::not_run && it.anything_sent) {
       report_violation("false-not-run", "request=" + to_string(it.report.request));
     }
-    it.report.refused = *refused;
-    answer = refuse(it, *refused);
+    refusal told = *refused;
+    if (it.parent && it.report.retries > 0 && settings_.policy == "chosen") {
+      // An upstream may pass "not-run" on, and then its own caller's node retries with a budget
+      // from which these retries were not taken: a chain of two made 10 retries instead of 4.
+      told.state = outcome::unknown;
+    }
+    it.report.refused = told;
+    answer = refuse(it, told);
   } else {
     answer = std::get<caller_answer>(result);
   }
