Separate the checks of platform answers from the socket code

Cause: the checks of ETag, Retry-After, status and body length stood in http_client.cpp and could be reached over a socket only, so that a fuzz target could not call them.

Change: they are moved unchanged to platform/http_answer.h, which is internal to the library.

Conclusion: no change of behaviour; the checks can be called without a socket.

--- /dev/null
+++ b/source/platform/http_answer.cpp
@@ -0,0 +1,79 @@
+#include "platform/http_answer.h"
+
+#include <algorithm>
+#include <charconv>
+
+#include <nlohmann/json.hpp>
+
+namespace damaskledge::platform {
+
+using Poco::Net::HTTPResponse;
+
+std::optional<std::uint64_t> parse_etag(std::string_view text) {
+  if (text.size() < 3 || text.front() != '"' || text.back() != '"') {
+    return std::nullopt;
+  }
+  std::uint64_t value = 0;
+  const char* first = text.data() + 1;
+  const char* last = text.data() + text.size() - 1;
+  const auto [end, ec] = std::from_chars(first, last, value);
+  if (ec != std::errc{} || end != last || value == 0) {
+    return std::nullopt;
+  }
+  return value;
+}
+
+milliseconds parse_retry_after(std::string_view text) {
+  unsigned value = 0;
+  const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), value);
+  constexpr unsigned highest_seconds = 60;
+  if (ec != std::errc{} || end != text.data() + text.size()) {
+    return milliseconds{0};
+  }
+  return seconds{std::min(value, highest_seconds)};
+}
+
+std::string write_id_of(std::string_view content) {
+  const auto document = nlohmann::json::parse(content, nullptr, false);
+  if (!document.is_object()) {
+    return {};
+  }
+  const auto it = document.find("write_id");
+  return it != document.end() && it->is_string() ? it->get<std::string>() : std::string{};
+}
+
+bool refused(int status) {
+  return status == HTTPResponse::HTTP_TOO_MANY_REQUESTS || status >= 500;
+}
+
+answer_head check_head(const HTTPResponse& response) {
+  answer_head result;
+  result.status = response.getStatus();
+  result.retry_after = parse_retry_after(response.get("Retry-After", ""));
+  if (refused(result.status)) {
+    result.reason = "the platform answered with status " + std::to_string(result.status);
+  }
+  const bool needs_version =
+      (result.status == HTTPResponse::HTTP_OK || result.status == HTTPResponse::HTTP_CREATED);
+  if (const auto version = parse_etag(response.get("ETag", ""))) {
+    result.version = *version;
+  } else if (needs_version) {
+    result.reason = "the ETag is not a positive decimal number in double quotes";
+    return result;
+  }
+  result.usable = true;
+  return result;
+}
+
+std::string check_body(const HTTPResponse& response, std::string_view body) {
+  if (response.hasContentLength()) {
+    return static_cast<std::size_t>(response.getContentLength64()) == body.size()
+               ? std::string{}
+               : "the answer is truncated";
+  }
+  // Without a length, the end of the connection looks like the end of the body. No proper
+  // prefix of a JSON object is valid JSON.
+  return body.empty() || nlohmann::json::accept(body) ? std::string{} : "the answer is truncated";
+}
+
+} // namespace damaskledge::platform
--- /dev/null
+++ b/source/platform/http_answer.h
@@ -0,0 +1,47 @@
+/// @file
+/// Checks of the platform's HTTP answers, internal to the platform library. They need no socket.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include <Poco/Net/HTTPResponse.h>
+
+#include "common/common.h"
+
+namespace damaskledge::platform {
+
+/// @return the version of an ETag, or nothing when it is not a positive decimal number in
+/// double quotes.
+std::optional<std::uint64_t> parse_etag(std::string_view text);
+
+/// @return the time of a Retry-After header in whole seconds, at most 60 s; zero when it is not a
+/// number.
+milliseconds parse_retry_after(std::string_view text);
+
+/// @return the member "write_id" of an object's content; empty when there is none.
+std::string write_id_of(std::string_view content);
+
+/// @return true for a status that tells that the call did not take effect.
+bool refused(int status);
+
+/// What the head of a complete answer says.
+struct answer_head {
+  int status = 0;
+  /// Version of a valid ETag; 0 when there is none.
+  std::uint64_t version = 0;
+  milliseconds retry_after{0};
+  /// False when the status needs a version and the ETag has none.
+  bool usable = false;
+  std::string reason;
+};
+
+/// Checks status, ETag and Retry-After of a response.
+answer_head check_head(const Poco::Net::HTTPResponse& response);
+
+/// @return the reason why a body is incomplete; empty when it is whole.
+std::string check_body(const Poco::Net::HTTPResponse& response, std::string_view body);
+
+} // namespace damaskledge::platform
--- a/source/platform/http_client.cpp
+++ b/source/platform/http_client.cpp
@@ -1,7 +1,6 @@
 #include <algorithm>
 #include <array>
 #include <atomic>
-#include <charconv>
 #include <mutex>
 #include <optional>
 #include <set>
@@ -13,8 +12,8 @@
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Net/StreamSocket.h>
 #include <Poco/URI.h>
-#include <nlohmann/json.hpp>
 
+#include "platform/http_answer.h"
 #include "platform/platform.h"
 
 namespace damaskledge::platform {
@@ -86,47 +85,6 @@
   return "\"" + std::to_string(version) + "\"";
 }
 
-/// @return the version of an ETag, or nothing when it is not a positive decimal number in
-/// double quotes.
-std::optional<std::uint64_t> parse_etag(const std::string& text) {
-  if (text.size() < 3 || text.front() != '"' || text.back() != '"') {
-    return std::nullopt;
-  }
-  std::uint64_t value = 0;
-  const char* first = text.data() + 1;
-  const char* last = text.data() + text.size() - 1;
-  const auto [end, ec] = std::from_chars(first, last, value);
-  if (ec != std::errc{} || end != last || value == 0) {
-    return std::nullopt;
-  }
-  return value;
-}
-
-/// @return the time of a Retry-After header in whole seconds; zero when there is none.
-milliseconds parse_retry_after(const HTTPResponse& response) {
-  const std::string text = response.get("Retry-After", "");
-  unsigned value = 0;
-  const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), value);
-  constexpr unsigned highest_seconds = 60;
-  if (ec != std::errc{} || end != text.data() + text.size()) {
-    return milliseconds{0};
-  }
-  return seconds{std::min(value, highest_seconds)};
-}
-
-std::string write_id_of(std::string_view content) {
-  const auto document = nlohmann::json::parse(content, nullptr, false);
-  if (!document.is_object()) {
-    return {};
-  }
-  const auto it = document.find("write_id");
-  return it != document.end() && it->is_string() ? it->get<std::string>() : std::string{};
-}
-
-bool refused(int status) {
-  return status == HTTPResponse::HTTP_TOO_MANY_REQUESTS || status >= 500;
-}
-
 milliseconds until(time_point then, time_point now) {
   return std::max(milliseconds{1}, std::chrono::ceil<milliseconds>(then - now));
 }
@@ -156,14 +114,7 @@
     }
     socket.setReceiveTimeout(to_timespan(until(deadline, now)));
   }
-  if (response.hasContentLength()) {
-    return static_cast<std::size_t>(response.getContentLength64()) == body.size()
-               ? std::string{}
-               : "the answer is truncated";
-  }
-  // Without a length, the end of the connection looks like the end of the body. No proper
-  // prefix of a JSON object is valid JSON.
-  return body.empty() || nlohmann::json::accept(body) ? std::string{} : "the answer is truncated";
+  return check_body(response, body);
 }
 
 } // namespace
@@ -539,23 +490,16 @@
     return result;
   }
 
-  /// Checks status and ETag of a complete response.
+  /// Takes over what the head of a complete response says.
   static void accept(const HTTPResponse& response, exchange_result& result) {
-    result.status = response.getStatus();
-    result.retry_after = parse_retry_after(response);
-    if (refused(result.status)) {
-      result.reason = "the platform answered with status " + std::to_string(result.status);
-    }
-    const bool needs_version =
-        (result.status == HTTPResponse::HTTP_OK || result.status == HTTPResponse::HTTP_CREATED);
-    const std::string etag = response.get("ETag", "");
-    if (const auto version = parse_etag(etag)) {
-      result.version = *version;
-    } else if (needs_version) {
-      result.reason = "the ETag is not a positive decimal number in double quotes";
-      return;
+    answer_head head = check_head(response);
+    result.status = head.status;
+    result.version = head.version;
+    result.retry_after = head.retry_after;
+    result.reason = std::move(head.reason);
+    if (head.usable) {
+      result.state = exchange_state::answered;
     }
-    result.state = exchange_state::answered;
   }
 
   bool activate(HTTPClientSession* session) {
