Quote no string or comment in a JSON syntax error

Cause: the fuzz target node_settings found that a syntax error inside or next to a string quotes the last token, and nlohmann-json's own text quotes it once more. In a node's settings the token can be the cluster secret, so that a damaged file put the secret into the log.

Ruled out: errors of the right syntax (read_secret describes no value), and keys of the load tool (its parser drops the library's text).

Change: a token that starts a string or a comment is not quoted, nor is the part of the library's text that repeats it. Line, field and reason stay; other tokens are still shown.

Conclusion: an operator sees file, line and reason, and no secret.

--- a/source/config/located_json.cpp
+++ b/source/config/located_json.cpp
@@ -95,10 +95,17 @@
     if (const auto it = reason.find(": "); it != std::string::npos) {
       reason.erase(0, it + 2);
     }
+    // A string or a comment may hold a secret: before the syntax is right, it is not known to which
+    // member it belongs. The library's text quotes the token after this mark.
+    std::string found = "text that is not JSON";
+    if (last_token.starts_with('"') || last_token.starts_with('/')) {
+      reason.erase(std::min(reason.find("; last read: "), reason.size()));
+    } else {
+      found += " near '" + printable(last_token) + "'";
+    }
     errors_.push_back(
         {result_.file, consumed_.line, frames_.empty() ? std::string() : frames_.back().member_path,
-         "text that is not JSON near '" + printable(last_token) + "' (" + reason + ")",
-         "correct the JSON syntax; comments are // and /* */"});
+         found + " (" + reason + ")", "correct the JSON syntax; comments are // and /* */"});
     return false;
   }
 
--- a/tests/config/settings_test.cpp
+++ b/tests/config/settings_test.cpp
@@ -110,6 +110,23 @@
   CHECK(to_string(errors.front()).find("hunter2") == std::string::npos);
 }
 
+TEST_CASE("A syntax error does not quote a secret") {
+  // Guards against a secret in a log: found by the fuzz target node_settings, which broke the
+  // string of the secret. The whole message names file and line only.
+  const std::string secret = "0123456789abcdef0123456789abcdef";
+  const std::string quoted = "\"" + secret + "\"";
+  for (const std::string& broken :
+       {"\"" + secret + "\xff\"", "\"" + secret + "\n\"", "\"" + secret + "\\q\"", "\"\" " + quoted,
+        "/* " + secret, quoted + " " + quoted, "[" + quoted + "}"}) {
+    const auto errors = errors_with(quoted, broken);
+    REQUIRE(errors.size() == 1);
+    CAPTURE(broken);
+    CHECK(to_string(errors.front()).find("cdef") == std::string::npos);
+    CHECK(errors.front().found.find("not JSON") != std::string::npos);
+    CHECK(errors.front().line > 0);
+  }
+}
+
 TEST_CASE("Every setting of the documentation table is accepted at its default") {
   for (const setting_description& it : node_setting_descriptions()) {
     if (it.required || it.kind == "string" || it.kind == "list of strings") {
