Report phases per account and route, and goodput over time

Comparing policies needs more than the whole run's figures: which account a phase starved, how many attempts its calls took, and how goodput ran over time.

Phases report their accounts, routes, attempts, results and refusals, by the start of the call; the judgement of the plans still covers the whole run, so that buckets carry over from phase to phase. The report has goodput per 200 ms. The text report and the present JSON members are as before.

--- a/source/load/load.h
+++ b/source/load/load.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -77,10 +78,16 @@
   double factor = 1;
   /// Multiplies the demand of single accounts, by name.
   std::map<std::string, double> account_factors;
-
-  /// @return true when the demand is that of the scenario, so that the phase can be the base
-  /// of comparisons.
-  [[nodiscard]] bool is_base() const { return factor == 1 && account_factors.empty(); }
+  /// Replaces the retries of all accounts for the calls that start in this phase.
+  std::optional<retry_policy> retries{};
+  /// Something outside the scenario disturbs the fleet, for example a slowed service.
+  bool disturbed = false;
+
+  /// @return true when the demand is that of the scenario and nothing disturbs the fleet, so
+  /// that the phase can be the base of comparisons.
+  [[nodiscard]] bool is_base() const {
+    return factor == 1 && account_factors.empty() && !retries && !disturbed;
+  }
   bool operator==(const phase&) const = default;
 };
 
@@ -105,6 +112,9 @@
   bool operator==(const scenario&) const = default;
 };
 
+/// @return how callers of that account behave after calls that start at that time.
+const retry_policy& retries_at(const scenario& value, std::uint32_t account, duration at);
+
 /// Parses and checks a scenario in JSON with comments.
 /// @param file name used in errors.
 /// @return the scenario, or a `parse_error` through LEAF.
@@ -270,6 +280,9 @@
   endpoint direct;
   /// Service whose calls go to `direct`; empty for all.
   std::string direct_service;
+  /// Told the time from which the run counts, shortly before it; empty for none. Lets a script
+  /// that disturbs the fleet follow the phases.
+  std::function<void(unix_milliseconds)> starting;
 };
 
 /// Runs a scenario and blocks until all attempts have ended.
@@ -283,22 +296,6 @@
 };
 leaf::result<executions_result> fetch_executions(const std::vector<endpoint>& upstreams);
 
-/// Measures of one phase.
-struct phase_report {
-  std::string name;
-  double seconds = 0;
-  std::uint64_t offered = 0;
-  std::uint64_t good = 0;
-  /// Whole requests per second.
-  double goodput = 0;
-  /// From the intended time of good answers.
-  quantiles latency;
-  /// Time from the phase's end until the service is as in the base phase. Nothing for base
-  /// phases and when it did not happen before the next phase or the end of the run.
-  std::optional<double> recovery_seconds;
-  bool is_base = false;
-};
-
 /// Measures of one account.
 struct account_report {
   std::string name;
@@ -316,12 +313,59 @@
   std::uint64_t refused_in_rate = 0;
   /// Those of them whose reason is the rate.
   std::uint64_t rate_refused_in_rate = 0;
+  /// Calls that ended with such a refusal, whatever its reason.
+  std::uint64_t calls_refused_in_rate = 0;
   /// Attempts admitted while that bucket lacked tokens; with slack.
   std::uint64_t admitted_above_rate = 0;
-  /// Slack of the last three figures in tokens.
+  /// Slack of the last four figures in tokens.
   double slack_tokens = 0;
 };
 
+/// Calls of one route in a phase.
+struct route_report {
+  std::uint64_t offered = 0;
+  /// Calls within the plan's rate and burst of their account.
+  std::uint64_t in_rate = 0;
+  std::uint64_t good = 0;
+};
+
+/// Measures of one phase.
+struct phase_report {
+  std::string name;
+  double seconds = 0;
+  std::uint64_t offered = 0;
+  std::uint64_t good = 0;
+  /// Whole requests per second.
+  double goodput = 0;
+  /// From the intended time of good answers.
+  quantiles latency;
+  /// Time from the phase's end until the service is as in the base phase. Nothing for base
+  /// phases and when it did not happen before the next phase or the end of the run.
+  std::optional<double> recovery_seconds;
+  bool is_base = false;
+  /// Attempts of the calls that start in the phase.
+  std::uint64_t attempts = 0;
+  /// Final results of the calls, by name.
+  std::map<std::string, std::uint64_t> results;
+  /// Refused attempts by reason.
+  std::map<std::string, std::uint64_t> refusals;
+  std::map<std::string, route_report> routes;
+  /// In the order of the scenario; calls and attempts count by the start of the call.
+  std::vector<account_report> accounts;
+};
+
+/// Demand and goodput of one interval of `timeline_step`.
+struct timeline_entry {
+  /// Calls with their intended time in the interval.
+  std::uint64_t offered = 0;
+  /// Those of them within the plan's rate and burst of their account.
+  std::uint64_t in_rate = 0;
+  /// Good answers that ended in the interval.
+  std::uint64_t good = 0;
+
+  bool operator==(const timeline_entry&) const = default;
+};
+
 /// Latency through the node and directly, in the same run.
 struct direct_report {
   quantiles node;
@@ -335,6 +379,8 @@
   /// Whole requests per second.
   double goodput = 0;
   std::vector<phase_report> phases;
+  /// From the start of the run; answers after its end are left out.
+  std::vector<timeline_entry> timeline;
   std::vector<account_report> accounts;
   /// Index of the account with the lowest `served`; nothing without in-rate demand.
   std::optional<std::size_t> worst_served;
@@ -374,6 +420,8 @@
 /// Stretch in which any answered call makes up for one inside the rate. Calls answered above
 /// the rate at one time are no excuse for calls lost at another.
 inline constexpr seconds served_window{5};
+/// Interval of the time series of goodput.
+inline constexpr milliseconds timeline_step{200};
 /// Window and step in which recovery is looked for.
 inline constexpr milliseconds recovery_window{1'000};
 inline constexpr milliseconds recovery_step{100};
--- a/source/load/measures.cpp
+++ b/source/load/measures.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <numeric>
 #include <set>
 #include <tuple>
 
@@ -34,6 +35,18 @@
   return result;
 }
 
+/// What the judgement of an account's plan says about an attempt.
+enum class verdict : std::uint8_t { proper, refused_in_rate, admitted_above_rate };
+
+/// Judgement of all calls and attempts of a run by the plans of their accounts. It covers the
+/// whole run, because the plans' buckets carry over from one phase to the next.
+struct judgement {
+  /// By arrival: the call is within its plan.
+  std::vector<bool> in_rate;
+  /// By attempt.
+  std::vector<verdict> attempts;
+};
+
 double ratio(std::uint64_t part, std::uint64_t whole) {
   return whole == 0 ? 1 : static_cast<double>(part) / static_cast<double>(whole);
 }
@@ -83,7 +96,7 @@
 
 std::vector<phase_report> measure_phases(const scenario& value,
                                          const std::vector<call_result>& calls) {
-  // The first phase without factors is the reference of all others.
+  // The first undisturbed phase is the reference of all others.
   const auto reference = std::find_if(value.phases.begin(), value.phases.end(),
                                       [](const phase& it) { return it.is_base(); });
   stretch base;
@@ -126,59 +139,148 @@
          it.result != result_kind::connection_failed;
 }
 
-account_report measure_account(const scenario& value, std::uint32_t index, const run_result& result,
-                               const std::vector<call_result>& calls) {
-  const account_demand& demand = value.accounts[index];
-  account_report out;
-  out.name = demand.name;
-  out.slack_tokens = std::max(1.0, value.slack_fraction * demand.burst) +
-                     demand.rate * in_seconds(value.slack_time);
+/// @return tokens by which the judgement of an account favours the nodes.
+double slack_of(const scenario& value, const account_demand& demand) {
+  return std::max(1.0, value.slack_fraction * demand.burst) +
+         demand.rate * in_seconds(value.slack_time);
+}
+
+judgement judge(const scenario& value, const run_result& result) {
+  judgement out;
+  std::vector<token_judge> offered;
+  for (const account_demand& it : value.accounts) {
+    offered.emplace_back(it.rate, it.burst);
+  }
+  for (const arrival& it : result.arrivals) {
+    out.in_rate.push_back(offered[it.account].take(it.at));
+  }
 
+  std::vector<std::size_t> order(result.attempts.size());
+  std::iota(order.begin(), order.end(), std::size_t{0});
+  std::sort(order.begin(), order.end(), [&](std::size_t a, std::size_t b) {
+    return result.attempts[a].sent < result.attempts[b].sent;
+  });
+  // Two buckets, because the slack favours the nodes in both judgements: a refusal is wrong
+  // only with tokens to spare, and an admission only when tokens lack by more than the slack.
+  std::vector<token_judge> exact;
+  std::vector<token_judge> generous;
+  for (const account_demand& it : value.accounts) {
+    exact.emplace_back(it.rate, it.burst);
+    generous.emplace_back(it.rate, it.burst + slack_of(value, it));
+  }
+  out.attempts.resize(result.attempts.size(), verdict::proper);
+  for (const std::size_t n : order) {
+    const attempt_record& it = result.attempts[n];
+    const std::uint32_t account = result.arrivals[it.arrival].account;
+    if (was_admitted(it)) {
+      exact[account].spend(it.sent);
+      if (!generous[account].take(it.sent)) {
+        out.attempts[n] = verdict::admitted_above_rate;
+      }
+    } else if (it.result == result_kind::refused &&
+               exact[account].tokens(it.sent) >= 1 + slack_of(value, value.accounts[account])) {
+      out.attempts[n] = verdict::refused_in_rate;
+    }
+  }
+  return out;
+}
+
+/// Measures the calls of all accounts with their intended time from `from` and before `until`.
+std::vector<account_report> measure_accounts(const scenario& value, const run_result& result,
+                                             const std::vector<call_result>& calls,
+                                             const judgement& judged, duration from,
+                                             duration until) {
   struct window_counts {
     std::uint64_t in_rate = 0;
     std::uint64_t good = 0;
   };
-  std::map<duration::rep, window_counts> windows;
-  token_judge offered(demand.rate, demand.burst);
+  std::vector<account_report> out(value.accounts.size());
+  std::vector<std::map<duration::rep, window_counts>> windows(value.accounts.size());
+  const auto covers = [&](const arrival& it) { return it.at >= from && it.at < until; };
   for (std::size_t it = 0; it < result.arrivals.size(); ++it) {
-    if (result.arrivals[it].account != index) {
-      continue;
+    const arrival& what = result.arrivals[it];
+    if (covers(what)) {
+      ++out[what.account].offered;
+      window_counts& window = windows[what.account][(what.at - from) / served_window];
+      window.in_rate += judged.in_rate[it] ? 1 : 0;
+      window.good += calls[it].good ? 1 : 0;
     }
-    ++out.offered;
-    window_counts& window = windows[result.arrivals[it].at / served_window];
-    window.in_rate += offered.take(result.arrivals[it].at) ? 1 : 0;
-    window.good += calls[it].good ? 1 : 0;
   }
-  std::uint64_t served = 0;
-  for (const auto& [number, it] : windows) {
-    out.in_rate += it.in_rate;
-    out.good += it.good;
-    served += std::min(it.good, it.in_rate);
+  for (std::size_t n = 0; n < out.size(); ++n) {
+    out[n].name = value.accounts[n].name;
+    out[n].slack_tokens = slack_of(value, value.accounts[n]);
+    std::uint64_t served = 0;
+    for (const auto& [number, it] : windows[n]) {
+      out[n].in_rate += it.in_rate;
+      out[n].good += it.good;
+      served += std::min(it.good, it.in_rate);
+    }
+    out[n].served = ratio(served, out[n].in_rate);
+  }
+  for (std::size_t n = 0; n < result.attempts.size(); ++n) {
+    const attempt_record& it = result.attempts[n];
+    const arrival& what = result.arrivals[it.arrival];
+    if (!covers(what)) {
+      continue;
+    }
+    account_report& account = out[what.account];
+    account.refused_attempts += it.result == result_kind::refused ? 1 : 0;
+    account.admitted_above_rate += judged.attempts[n] == verdict::admitted_above_rate ? 1 : 0;
+    if (judged.attempts[n] == verdict::refused_in_rate) {
+      ++account.refused_in_rate;
+      account.rate_refused_in_rate += it.reason == refusal_reason::rate_exceeded ? 1 : 0;
+      account.calls_refused_in_rate += it.last ? 1 : 0;
+    }
   }
-  out.served = ratio(served, out.in_rate);
+  return out;
+}
 
-  std::vector<const attempt_record*> attempts;
+/// Adds what one phase has beyond its calls' results: routes, attempts and accounts.
+void measure_details(const scenario& value, const run_result& result,
+                     const std::vector<call_result>& calls, const judgement& judged,
+                     const phase& part, phase_report& out) {
+  const duration end = part.start + part.length;
+  const auto covers = [&](const arrival& it) { return it.at >= part.start && it.at < end; };
+  for (std::size_t it = 0; it < result.arrivals.size(); ++it) {
+    const arrival& what = result.arrivals[it];
+    if (covers(what)) {
+      route_report& route = out.routes[value.accounts[what.account].calls[what.call].route];
+      ++route.offered;
+      route.in_rate += judged.in_rate[it] ? 1 : 0;
+      route.good += calls[it].good ? 1 : 0;
+    }
+  }
   for (const attempt_record& it : result.attempts) {
-    if (result.arrivals[it.arrival].account == index) {
-      attempts.push_back(&it);
+    if (!covers(result.arrivals[it.arrival])) {
+      continue;
+    }
+    ++out.attempts;
+    if (it.last) {
+      ++out.results[std::string(to_string(it.result))];
+    }
+    if (it.result == result_kind::refused && it.reason) {
+      ++out.refusals[std::string(to_string(*it.reason))];
     }
   }
-  std::sort(attempts.begin(), attempts.end(),
-            [](const attempt_record* a, const attempt_record* b) { return a->sent < b->sent; });
-  // Two buckets, because the slack favours the nodes in both judgements: a refusal is wrong
-  // only with tokens to spare, and an admission only when tokens lack by more than the slack.
-  token_judge exact(demand.rate, demand.burst);
-  token_judge generous(demand.rate, demand.burst + out.slack_tokens);
-  for (const attempt_record* it : attempts) {
-    if (was_admitted(*it)) {
-      exact.spend(it->sent);
-      out.admitted_above_rate += generous.take(it->sent) ? 0 : 1;
-    } else if (it->result == result_kind::refused) {
-      ++out.refused_attempts;
-      if (exact.tokens(it->sent) >= 1 + out.slack_tokens) {
-        ++out.refused_in_rate;
-        out.rate_refused_in_rate += it->reason == refusal_reason::rate_exceeded ? 1 : 0;
-      }
+  out.accounts = measure_accounts(value, result, calls, judged, part.start, end);
+}
+
+std::vector<timeline_entry> measure_timeline(const scenario& value, const run_result& result,
+                                             const judgement& judged) {
+  const auto steps =
+      static_cast<std::size_t>((value.length + timeline_step - duration{1}) / timeline_step);
+  std::vector<timeline_entry> out(steps);
+  for (std::size_t it = 0; it < result.arrivals.size(); ++it) {
+    const auto step = static_cast<std::size_t>(result.arrivals[it].at / timeline_step);
+    if (step < out.size()) {
+      ++out[step].offered;
+      out[step].in_rate += judged.in_rate[it] ? 1 : 0;
+    }
+  }
+  for (const attempt_record& it : result.attempts) {
+    const auto step = static_cast<std::size_t>(it.ended / timeline_step);
+    if (it.result == result_kind::good && step < out.size()) {
+      ++out[step].good;
     }
   }
   return out;
@@ -245,10 +347,15 @@
   out.attempts = result.attempts.size();
   out.quantile_relative_error = latency_histogram::relative_error();
   out.opened_connections = result.opened_connections;
+  const judgement judged = judge(value, result);
   out.phases = measure_phases(value, calls);
+  for (std::size_t it = 0; it < value.phases.size(); ++it) {
+    measure_details(value, result, calls, judged, value.phases[it], out.phases[it]);
+  }
+  out.timeline = measure_timeline(value, result, judged);
+  out.accounts = measure_accounts(value, result, calls, judged, duration{0}, duration::max());
   for (std::uint32_t it = 0; it < value.accounts.size(); ++it) {
-    out.accounts.push_back(measure_account(value, it, result, calls));
-    const account_report& account = out.accounts.back();
+    const account_report& account = out.accounts[it];
     out.refused_in_rate += account.refused_in_rate;
     out.rate_refused_in_rate += account.rate_refused_in_rate;
     out.admitted_above_rate += account.admitted_above_rate;
--- a/source/load/report.cpp
+++ b/source/load/report.cpp
@@ -66,6 +66,33 @@
           {"p99_ms", value.p99},  {"p999_ms", value.p999}, {"max_ms", value.max}};
 }
 
+ordered_json to_json(const account_report& value) {
+  return {{"name", value.name},
+          {"offered", value.offered},
+          {"in_rate", value.in_rate},
+          {"good", value.good},
+          {"served", value.served},
+          {"refused_attempts", value.refused_attempts},
+          {"refused_in_rate", value.refused_in_rate},
+          {"rate_refused_in_rate", value.rate_refused_in_rate},
+          {"calls_refused_in_rate", value.calls_refused_in_rate},
+          {"admitted_above_rate", value.admitted_above_rate},
+          {"slack_tokens", value.slack_tokens}};
+}
+
+ordered_json to_json(const std::vector<timeline_entry>& value) {
+  ordered_json out{{"step_ms", timeline_step.count()},
+                   {"offered", ordered_json::array()},
+                   {"in_rate", ordered_json::array()},
+                   {"good", ordered_json::array()}};
+  for (const timeline_entry& it : value) {
+    out["offered"].push_back(it.offered);
+    out["in_rate"].push_back(it.in_rate);
+    out["good"].push_back(it.good);
+  }
+  return out;
+}
+
 ordered_json difference(const quantiles& a, const quantiles& b) {
   return {{"p50_ms", a.p50 - b.p50},
           {"p90_ms", a.p90 - b.p90},
@@ -189,20 +216,24 @@
                        {"base", it.is_base}};
     phase["recovery_seconds"] =
         it.recovery_seconds ? ordered_json(*it.recovery_seconds) : ordered_json();
+    phase["attempts"] = it.attempts;
+    phase["results"] = it.results;
+    phase["refusals"] = it.refusals;
+    phase["routes"] = ordered_json::object();
+    for (const auto& [name, route] : it.routes) {
+      phase["routes"][name] = {
+          {"offered", route.offered}, {"in_rate", route.in_rate}, {"good", route.good}};
+    }
+    phase["accounts"] = ordered_json::array();
+    for (const account_report& account : it.accounts) {
+      phase["accounts"].push_back(to_json(account));
+    }
     out["phases"].push_back(std::move(phase));
   }
+  out["timeline"] = to_json(value.timeline);
   out["accounts"] = ordered_json::array();
   for (const account_report& it : value.accounts) {
-    out["accounts"].push_back({{"name", it.name},
-                               {"offered", it.offered},
-                               {"in_rate", it.in_rate},
-                               {"good", it.good},
-                               {"served", it.served},
-                               {"refused_attempts", it.refused_attempts},
-                               {"refused_in_rate", it.refused_in_rate},
-                               {"rate_refused_in_rate", it.rate_refused_in_rate},
-                               {"admitted_above_rate", it.admitted_above_rate},
-                               {"slack_tokens", it.slack_tokens}});
+    out["accounts"].push_back(to_json(it));
   }
   out["results"] = value.results;
   out["refusals"] = value.refusals;
--- a/source/load/run.cpp
+++ b/source/load/run.cpp
@@ -227,7 +227,8 @@
 
   /// @return the attempt that the caller makes next, or nothing.
   std::optional<task> next_attempt(const task& it, const attempt_record& record) {
-    const retry_policy& policy = scenario_.accounts[arrivals_[it.arrival].account].retries;
+    const arrival& what = arrivals_[it.arrival];
+    const retry_policy& policy = retries_at(scenario_, what.account, what.at);
     const bool retryable =
         record.result == result_kind::timed_out ||
         record.result == result_kind::connection_failed ||
@@ -478,6 +479,9 @@
         std::vector<endpoint>{options.direct}, true, options.keys, seed);
   }
   const time_point start = clock_type::now() + lead;
+  if (options.starting) {
+    options.starting(unix_now() + lead.count());
+  }
   std::thread direct_thread;
   if (direct) {
     direct_thread = std::thread([&] { direct->run(start); });
--- a/source/load/scenario.cpp
+++ b/source/load/scenario.cpp
@@ -182,6 +182,16 @@
   return result;
 }
 
+retry_policy parse_retries(const json& value, const std::string& path) {
+  const fields it(value, path, {"fraction", "attempts", "honour_retry_after", "pause_ms"});
+  retry_policy result;
+  result.fraction = it.number("fraction", 0, 1, std::nullopt);
+  result.attempts = static_cast<std::uint32_t>(it.whole("attempts", 1, 100, 3));
+  result.honour_retry_after = it.flag("honour_retry_after", true);
+  result.pause = milliseconds{it.whole("pause_ms", 0, 60'000, 50)};
+  return result;
+}
+
 account_demand parse_account(const json& value, const std::string& path) {
   const fields it(value, path, {"name", "rate", "burst", "calls", "retries"});
   account_demand result;
@@ -194,18 +204,15 @@
         parse_call(calls[n], it.name_of("calls") + "[" + std::to_string(n) + "]"));
   }
   if (const json* retries = it.find("retries")) {
-    const fields part(*retries, it.name_of("retries"),
-                      {"fraction", "attempts", "honour_retry_after", "pause_ms"});
-    result.retries.fraction = part.number("fraction", 0, 1, std::nullopt);
-    result.retries.attempts = static_cast<std::uint32_t>(part.whole("attempts", 1, 100, 3));
-    result.retries.honour_retry_after = part.flag("honour_retry_after", true);
-    result.retries.pause = milliseconds{part.whole("pause_ms", 0, 60'000, 50)};
+    result.retries = parse_retries(*retries, it.name_of("retries"));
   }
   return result;
 }
 
 phase parse_phase(const json& value, const std::string& path) {
-  const fields it(value, path, {"name", "start_s", "duration_s", "factor", "account_factors"});
+  const fields it(
+      value, path,
+      {"name", "start_s", "duration_s", "factor", "account_factors", "retries", "disturbed"});
   phase result;
   result.name = it.text("name", std::nullopt);
   result.start = to_duration(it.number("start_s", 0, highest_seconds, std::nullopt));
@@ -223,6 +230,10 @@
       result.account_factors[name] = factor.get<double>();
     }
   }
+  if (const json* retries = it.find("retries")) {
+    result.retries = parse_retries(*retries, it.name_of("retries"));
+  }
+  result.disturbed = it.flag("disturbed", false);
   return result;
 }
 
@@ -252,7 +263,7 @@
   const bool base = std::any_of(value.phases.begin(), value.phases.end(),
                                 [](const phase& it) { return it.is_base(); });
   if (disturbed && !base) {
-    throw field_error{"phases", "no phase without factors",
+    throw field_error{"phases", "no undisturbed phase without factors and retries",
                       "add a base phase, with which recovery is compared"};
   }
 }
@@ -343,6 +354,14 @@
   return result;
 }
 
+const retry_policy& retries_at(const scenario& value, std::uint32_t account, duration at) {
+  const auto number = phase_at(value, at);
+  if (number && value.phases[*number].retries) {
+    return *value.phases[*number].retries;
+  }
+  return value.accounts[account].retries;
+}
+
 std::optional<std::size_t> phase_at(const scenario& value, duration at) {
   for (std::size_t n = 0; n < value.phases.size(); ++n) {
     if (at >= value.phases[n].start && at < value.phases[n].start + value.phases[n].length) {
--- a/source/programs/damaskledge_load.cpp
+++ b/source/programs/damaskledge_load.cpp
@@ -1,4 +1,5 @@
 // Sends the calls of a scenario to nodes and reports goodput, recovery, fairness and refusals.
+#include <cstdio>
 #include <fstream>
 #include <iostream>
 #include <optional>
@@ -18,6 +19,8 @@
 DEFINE_string(direct_service, "", "service whose calls go to --direct; empty for all");
 DEFINE_string(executions, "",
               "address:port,... of upstream stand-ins whose execution logs are checked");
+DEFINE_string(start_file, "",
+              "file that gets the start of the run in milliseconds of Unix time; empty for none");
 DEFINE_string(output, "text", "form of the report: text or json");
 
 namespace {
@@ -85,6 +88,14 @@
     options.direct_service = FLAGS_direct_service;
   }
   BOOST_LEAF_AUTO(upstreams, parse_endpoints(FLAGS_executions, "executions"));
+  if (!FLAGS_start_file.empty()) {
+    options.starting = [](damaskledge::unix_milliseconds start) {
+      // Renamed when it is whole, so that a script that waits for it reads no half number.
+      const std::string part = FLAGS_start_file + ".part";
+      std::ofstream(part) << start << '\n';
+      std::rename(part.c_str(), FLAGS_start_file.c_str());
+    };
+  }
   BOOST_LEAF_AUTO(result, load::run(scenario, options));
   std::optional<load::executions_result> executions;
   if (!upstreams.empty()) {
--- a/tests/load/measures_test.cpp
+++ b/tests/load/measures_test.cpp
@@ -291,6 +291,90 @@
   CHECK(out.accounts.at(0).served < 0.6);
 }
 
+// Guards against phases whose judgement starts with full buckets, or that take in the calls of
+// their neighbours.
+TEST_CASE("phases report their accounts, routes and attempts by the start of the call") {
+  scenario value = scenario_of(200, 100, 50);
+  value.accounts[0].calls.push_back(call_of(100));
+  value.accounts[0].calls[1].route = "history";
+  value.accounts.push_back(value.accounts.front());
+  value.accounts[1].name = "teachers";
+  value.accounts[1].rate = value.accounts[1].burst = 1'000;
+  value.phases = {{"base", seconds{0}, seconds{5}, 1, {}},
+                  {"refusals", seconds{10}, seconds{5}, 1, {}}};
+  value.phases[1].disturbed = true;
+  run_result result = answered(value, milliseconds{5});
+  const auto end = result.attempts.size();
+  std::uint64_t refused = 0;
+  for (std::size_t it = 0; it < end; ++it) {
+    const arrival what = result.arrivals[result.attempts[it].arrival];
+    if (what.account == 1 && what.call == 1 && what.at >= seconds{10} && what.at < seconds{15}) {
+      refuse(result.attempts[it], refusal_reason::overloaded);
+      result.attempts[it].last = false;
+      // The second attempt falls into the time after the phase for the last calls.
+      attempt_record again = result.attempts[it];
+      again.attempt = 2;
+      again.sent += milliseconds{200};
+      again.ended += milliseconds{200};
+      again.last = true;
+      result.attempts.push_back(again);
+      ++refused;
+    }
+  }
+  const report out = measure(value, result, std::nullopt);
+  REQUIRE(out.phases.size() == 2);
+  const phase_report& base = out.phases[0];
+  const phase_report& part = out.phases[1];
+  CHECK(!part.is_base);
+  REQUIRE(part.accounts.size() == 2);
+  CHECK(part.accounts[0].name == "growers");
+  CHECK(part.accounts[0].offered + part.accounts[1].offered == part.offered);
+  CHECK(part.routes.at("status").offered + part.routes.at("history").offered == part.offered);
+  CHECK(part.routes.at("status").good == part.routes.at("status").offered);
+  CHECK(part.accounts[1].refused_attempts == 2 * refused);
+  CHECK(part.accounts[1].refused_in_rate == 2 * refused);
+  CHECK(part.accounts[1].calls_refused_in_rate == refused);
+  CHECK(part.refusals.at("overloaded") == 2 * refused);
+  CHECK(part.results.at("refused") == refused);
+  CHECK(part.attempts == part.offered + refused);
+  CHECK(part.accounts[1].served ==
+        doctest::Approx(1 - static_cast<double>(refused) /
+                                static_cast<double>(part.accounts[1].offered)));
+  CHECK(base.attempts == base.offered);
+  CHECK(base.refusals.empty());
+  CHECK(base.accounts[1].refused_attempts == 0);
+  // The burst is spent in the first phase; the second one has the rate only.
+  CHECK(base.accounts[0].in_rate >= 540);
+  CHECK(part.accounts[0].in_rate <= 510);
+}
+
+// Guards against a time series that counts answers where their calls started.
+TEST_CASE("the time series counts calls by their start and answers by their end") {
+  scenario value = scenario_of(0, 2, 2);
+  value.length = milliseconds{900};
+  run_result result;
+  for (const int at : {0, 100, 399, 400}) {
+    result.arrivals.push_back({milliseconds{at}, 0, 0});
+  }
+  for (std::uint32_t it = 0; it < 4; ++it) {
+    attempt_record record;
+    record.arrival = it;
+    record.sent = result.arrivals[it].at;
+    // The answer to the last call comes after the end of the run.
+    record.ended = record.sent + (it == 3 ? seconds{1} : milliseconds{150});
+    record.result = result_kind::good;
+    result.attempts.push_back(record);
+  }
+  const report out = measure(value, result, std::nullopt);
+  CHECK(out.timeline ==
+        std::vector<timeline_entry>{{2, 2, 1}, {1, 0, 1}, {1, 0, 1}, {0, 0, 0}, {0, 0, 0}});
+  const auto series = nlohmann::json::parse(to_json_text(out)).at("timeline");
+  CHECK(series.at("step_ms") == 200);
+  CHECK(series.at("offered") == nlohmann::json{2, 1, 1, 0, 0});
+  CHECK(series.at("in_rate") == nlohmann::json{2, 0, 0, 0, 0});
+  CHECK(series.at("good") == nlohmann::json{1, 1, 1, 0, 0});
+}
+
 TEST_CASE("the worst-served account is the one with the lowest share") {
   scenario value = scenario_of(100, 500, 500);
   value.accounts.push_back(value.accounts.front());
@@ -375,6 +459,12 @@
   CHECK(document.at("worst_served").at("account") == "growers");
   CHECK(document.at("phases").size() == 2);
   CHECK(document.at("phases")[1].at("recovery_seconds") == 0.0);
+  const auto& surge = document.at("phases")[1];
+  CHECK(surge.at("accounts")[0].at("offered") == surge.at("offered"));
+  CHECK(surge.at("routes").at("status").at("good") == surge.at("good"));
+  CHECK(surge.at("attempts") == surge.at("offered"));
+  CHECK(surge.at("results").at("good") == surge.at("good"));
+  CHECK(document.at("timeline").at("good").size() == 100);
   CHECK(document.at("duplicates").is_null());
   CHECK(document.at("direct").at("node").at("p50_ms").get<double>() ==
         doctest::Approx(5).epsilon(0.005));
--- a/tests/load/run_test.cpp
+++ b/tests/load/run_test.cpp
@@ -218,6 +218,30 @@
   CHECK(retried < 0.40);
 }
 
+// Guards against a retry storm that goes on after its phase or does not begin with it.
+TEST_CASE("a phase replaces the retries of the calls that start in it") {
+  http_server node({"127.0.0.1", 0}, 64,
+                   [&](http_exchange& it) { answer_refusal(it, refusal_reason::overloaded, "1"); });
+  scenario value = scenario_for({{"127.0.0.1", node.port()}}, 100, milliseconds{900});
+  value.phases = {{"base", milliseconds{0}, milliseconds{300}, 1, {}},
+                  {"storm", milliseconds{300}, milliseconds{300}, 1, {}}};
+  value.phases[1].retries = retry_policy{1, 4, false, milliseconds{1}};
+  const auto result = run(value, options());
+  REQUIRE(result);
+  std::vector<std::uint32_t> attempts(result->arrivals.size());
+  for (const attempt_record& it : result->attempts) {
+    ++attempts[it.arrival];
+  }
+  std::size_t inside = 0;
+  for (std::size_t it = 0; it < attempts.size(); ++it) {
+    const duration at = result->arrivals[it].at;
+    const bool storm = at >= milliseconds{300} && at < milliseconds{600};
+    inside += storm ? 1 : 0;
+    CHECK(attempts[it] == (storm ? 4 : 1));
+  }
+  CHECK(inside > 0);
+}
+
 TEST_CASE("replayed answers are the caller's own without the new request's id") {
   http_server node({"127.0.0.1", 0}, 64, [&](http_exchange& it) {
     it.set("Damaskledge-Replayed", "true");
@@ -359,6 +383,30 @@
   CHECK(refused.find("127.0.0.1:1") != std::string::npos);
 }
 
+// A script that disturbs the fleet by this time would otherwise miss the phases.
+TEST_CASE("a run tells its start before the first call") {
+  std::atomic<unix_milliseconds> first{0};
+  http_server node({"127.0.0.1", 0}, 64, [&](http_exchange& it) {
+    unix_milliseconds none = 0;
+    first.compare_exchange_strong(none, unix_now());
+    answer_own(it);
+  });
+  unix_milliseconds start = 0;
+  run_options told = options();
+  told.starting = [&](unix_milliseconds at) {
+    CHECK(first == 0);
+    start = at;
+  };
+  const auto result = run(scenario_for({{"127.0.0.1", node.port()}}, 50), told);
+  REQUIRE(result);
+  REQUIRE(!result->arrivals.empty());
+  const double expected =
+      static_cast<double>(start) +
+      std::chrono::duration<double, std::milli>(result->arrivals.front().at).count();
+  CHECK(static_cast<double>(first) >= expected - 2);
+  CHECK(static_cast<double>(first) <= expected + 500);
+}
+
 TEST_CASE("a run needs nodes and a key for each account") {
   const auto message_of = [](const scenario& value, const run_options& with) {
     return leaf::try_handle_all(
--- a/tests/load/scenario_test.cpp
+++ b/tests/load/scenario_test.cpp
@@ -72,6 +72,27 @@
   CHECK(!phase_at(*result, seconds{6}).has_value());
 }
 
+TEST_CASE("a disturbed phase and one with its own retries are no base") {
+  const auto disturbed = parse_scenario(
+      with("/phases/1", {{"name", "cut"}, {"start_s", 4}, {"duration_s", 2}, {"disturbed", true}}),
+      "load.json");
+  REQUIRE(disturbed);
+  CHECK(disturbed->phases[1].disturbed);
+  CHECK(!disturbed->phases[1].is_base());
+  const auto storm = parse_scenario(
+      with("/phases/1",
+           {{"name", "storm"},
+            {"start_s", 4},
+            {"duration_s", 2},
+            {"retries",
+             {{"fraction", 1}, {"attempts", 5}, {"pause_ms", 0}, {"honour_retry_after", false}}}}),
+      "load.json");
+  REQUIRE(storm);
+  CHECK(!storm->phases[1].is_base());
+  CHECK(retries_at(*storm, 0, seconds{5}) == retry_policy{1, 5, false, milliseconds{0}});
+  CHECK(retries_at(*storm, 0, seconds{6}) == storm->accounts[0].retries);
+}
+
 TEST_CASE("the error of a broken scenario names the field") {
   const auto call = [](const std::string& member) { return "/accounts/0/calls/0/" + member; };
   const std::string call_field = "accounts[0].calls[0].";
@@ -102,6 +123,9 @@
       {with("/phases/1/factor", -1), "phases[1].factor"},
       {with("/phases/1/account_factors", {{"nobody", 2}}), "phases[1].account_factors.nobody"},
       {with("/phases/0/factor", 2), "phases"},
+      {with("/phases/0/disturbed", true), "phases"},
+      {with("/phases/1/disturbed", 1), "phases[1].disturbed"},
+      {with("/phases/1/retries", {{"fraction", 2}}), "phases[1].retries.fraction"},
       {with("/unknown", 1), "unknown"},
   };
   for (const auto& it : cases) {
