--- a/tests/control/control_test.cpp
+++ b/tests/control/control_test.cpp
@@ -185,7 +185,7 @@
   CHECK(result.code == exit_code::lost_race);
   CHECK(contains(result.err, "expected version 2, current version 3"));
   CHECK(contains(result.err, "account weather-office: removed"));
-  CHECK(contains(result.err, "plan large: rate 1.0 -> 400.0"));
+  CHECK(contains(result.err, "plan large: rate 1.0 -> 1200.0"));
   CHECK(platform.objects["config/lists"].version == 3);
 }
 
@@ -200,7 +200,7 @@
   const json data = json::parse(result.out);
   CHECK(data["current_version"] == 2);
   CHECK(data["exit_code"] == 4);
-  CHECK(contains(data["changes"].dump(), "plan large: rate 400.0 -> 1.0"));
+  CHECK(contains(data["changes"].dump(), "plan large: rate 1200.0 -> 1.0"));
   CHECK(platform.objects["config/lists"].version == 2);
   given.expect_version = 2;
   CHECK(call({"apply"}).code == exit_code::success);
