Bound the time in which all headers of a request must arrive

header_timeout bounded only the wait for each piece of the headers: a caller that sent one byte every 300 ms held its connection and thread for as long as it liked. The HTTP library gives no hook between the first byte and the handler, so the listeners now accept sockets of their own class that take the time from the first byte of a request on. Its cost is one setsockopt for each piece of the headers.

failure_malformed_test sends malformed input to the ports of a node.

--- a/source/node/http_front.cpp
+++ b/source/node/http_front.cpp
@@ -2,7 +2,10 @@
 
 #include <algorithm>
 #include <array>
+#include <cerrno>
 #include <functional>
+#include <memory>
+#include <optional>
 #include <utility>
 
 #include <Poco/Exception.h>
@@ -14,7 +17,9 @@
 #include <Poco/Net/HTTPServerResponse.h>
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/ServerSocketImpl.h>
 #include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocketImpl.h>
 #include <Poco/URI.h>
 #include <glog/logging.h>
 #include <nlohmann/json.hpp>
@@ -44,6 +49,90 @@
   return dynamic_cast<Poco::Net::HTTPServerRequestImpl&>(request).socket();
 }
 
+/// Bounds the time from the first to the last byte of a request's headers. The HTTP library's own
+/// timeout starts anew with each byte, so a caller that sends one byte now and then would hold a
+/// thread for ever.
+class caller_socket : public Poco::Net::StreamSocketImpl {
+ public:
+  caller_socket(poco_socket_t descriptor, duration header_timeout)
+      : StreamSocketImpl(descriptor), header_timeout_(header_timeout) {}
+
+  int receiveBytes(void* buffer, int length, int flags) override { // NOLINT
+    if (!in_request_) {
+      const time_point now = clock_type::now();
+      headers_began_ = headers_began_.value_or(now);
+      const duration left = *headers_began_ + header_timeout_ - now;
+      if (left <= duration{0}) {
+        throw Poco::TimeoutException("the headers did not arrive in time");
+      }
+      setReceiveTimeout(to_timespan(left));
+    }
+    return StreamSocketImpl::receiveBytes(buffer, length, flags);
+  }
+
+  void headers_ended() {
+    in_request_ = true;
+    headers_began_.reset();
+  }
+  void request_ended() { in_request_ = false; }
+
+ private:
+  duration header_timeout_;
+  bool in_request_ = false;
+  std::optional<time_point> headers_began_;
+};
+
+class listening_socket_implementation : public Poco::Net::ServerSocketImpl {
+ public:
+  explicit listening_socket_implementation(duration header_timeout)
+      : header_timeout_(header_timeout) {}
+
+  Poco::Net::SocketImpl* acceptConnection(Poco::Net::SocketAddress& caller) override {
+    sockaddr_storage address{};
+    socklen_t length = sizeof(address);
+    poco_socket_t descriptor = -1;
+    do {
+      // NOLINTNEXTLINE(cppcoreguidelines-pro-type-reinterpret-cast)
+      descriptor = ::accept(sockfd(), reinterpret_cast<sockaddr*>(&address), &length);
+    } while (descriptor < 0 && errno == EINTR);
+    if (descriptor < 0) {
+      error();
+    }
+    // NOLINTNEXTLINE(cppcoreguidelines-pro-type-reinterpret-cast)
+    caller = Poco::Net::SocketAddress(reinterpret_cast<sockaddr*>(&address), length);
+    return new caller_socket(descriptor, header_timeout_);
+  }
+
+ private:
+  duration header_timeout_;
+};
+
+class listening_socket : public Poco::Net::ServerSocket {
+ public:
+  listening_socket(const Poco::Net::SocketAddress& address, int backlog, duration header_timeout)
+      : ServerSocket(new listening_socket_implementation(header_timeout), true) {
+    bind(address, true);
+    listen(backlog);
+  }
+};
+
+/// Tells the connection's socket when the headers of a request end and when its handler ends.
+class timed_handler : public Poco::Net::HTTPRequestHandler {
+ public:
+  explicit timed_handler(Poco::Net::HTTPRequestHandler* inner) : inner_(inner) {}
+
+  void handleRequest(Poco::Net::HTTPServerRequest& request,
+                     Poco::Net::HTTPServerResponse& response) override {
+    auto& socket = dynamic_cast<caller_socket&>(*socket_of(request).impl());
+    socket.headers_ended();
+    inner_->handleRequest(request, response);
+    socket.request_ended();
+  }
+
+ private:
+  std::unique_ptr<Poco::Net::HTTPRequestHandler> inner_;
+};
+
 refusal malformed(std::string detail) {
   return {refusal_reason::malformed_request, outcome::not_run, milliseconds(0), std::move(detail)};
 }
@@ -426,7 +515,7 @@
 
   Poco::Net::HTTPRequestHandler*
   createRequestHandler(const Poco::Net::HTTPServerRequest& request) override {
-    return make_(request);
+    return new timed_handler(make_(request));
   }
 
  private:
@@ -446,7 +535,8 @@
   params->setKeepAlive(true);
   params->setKeepAliveTimeout(to_timespan(state_.settings.idle_timeout));
   params->setTimeout(to_timespan(state_.settings.header_timeout));
-  const Poco::Net::ServerSocket socket(Poco::Net::SocketAddress(address, port), 1'024);
+  const listening_socket socket(Poco::Net::SocketAddress(address, port), 1'024,
+                                state_.settings.header_timeout);
   result.server =
       std::make_unique<Poco::Net::HTTPServer>(std::move(factory), *result.threads, socket, params);
   result.server->start();
