Read document versions without copying the contents

Cause: each tick, each document message and each poll of document_call copied a whole document from the table to read its version or its time of confirmation. With 5,000 keys that is 830 KB.

Change: document_table::find_in_force returns a pointer; refresh_rules and document_call use it.

--- a/source/core/core.cpp
+++ b/source/core/core.cpp
@@ -319,8 +319,8 @@
   if (now < row.paused_until) {
     return std::nullopt;
   }
-  const auto current = documents_.in_force(document);
-  const std::uint64_t known = current ? current->version : 0;
+  const auto* current = documents_.find_in_force(document);
+  const std::uint64_t known = current != nullptr ? current->version : 0;
   const bool coordinates = election_.current_part(now) == coordination::part::coordinator;
   const std::string object = "config/" + document;
   if (coordinates && known > 0) {
--- a/source/core/limits.cpp
+++ b/source/core/limits.cpp
@@ -22,7 +22,7 @@
 void control_core::refresh_rules(time_point now) {
   const std::string lists_name(config::lists_document);
   const std::string keys_name(config::keys_document);
-  if (const auto keys = documents_.in_force(keys_name)) {
+  if (const auto* keys = documents_.find_in_force(keys_name)) {
     keys_confirmed_at_ = keys->confirmed_at;
   }
   if (documents_.change_count() == seen_documents_) {
@@ -32,9 +32,9 @@
     return;
   }
   seen_documents_ = documents_.change_count();
-  const auto lists = documents_.in_force(lists_name);
-  const auto keys = documents_.in_force(keys_name);
-  if (!lists || !keys) {
+  const auto* lists = documents_.find_in_force(lists_name);
+  const auto* keys = documents_.find_in_force(keys_name);
+  if (lists == nullptr || keys == nullptr) {
     return;
   }
   const auto apply = [&]() -> leaf::result<void> {
--- a/source/documents/document_table.cpp
+++ b/source/documents/document_table.cpp
@@ -516,6 +516,11 @@
   return found == entries_.end() ? std::nullopt : found->second.current;
 }
 
+const document* document_table::find_in_force(const std::string& name) const {
+  const auto found = entries_.find(name);
+  return found == entries_.end() || !found->second.current ? nullptr : &*found->second.current;
+}
+
 std::vector<wire::document_version> document_table::versions_in_force() const {
   std::vector<wire::document_version> result;
   for (const auto& [name, row] : entries_) {
--- a/source/documents/documents.h
+++ b/source/documents/documents.h
@@ -75,6 +75,9 @@
   /// @return the document in force, or nothing before the first one, or while a higher
   /// version is known to exist and this process has never had one.
   std::optional<document> in_force(const std::string& name) const;
+  /// The same without a copy of the content, which may have a megabyte.
+  /// @return nullptr instead of nothing; valid until the next call that changes the table.
+  const document* find_in_force(const std::string& name) const;
   std::vector<wire::document_version> versions_in_force() const;
   std::vector<wire::document_version> highest_heard() const;
   /// Versions that nodes last reported or confirmed to this one, by node name.
