--- a/source/core/core.cpp
+++ b/source/core/core.cpp
@@ -146,9 +146,7 @@
 
 void control_core::tick_coordination(time_point now, unix_milliseconds wall, effects& out) {
   coordination::view view;
-  for (const auto& it : members_.alive(settings_.data_centre)) {
-    view.alive.push_back(it.name);
-  }
+  view.alive = members_.alive_names(settings_.data_centre);
   const time_point since = now - settings_.coordinator_term;
   view.heard_recently = members_.heard_since(settings_.data_centre, since);
   if (election_.needs_majority()) {
@@ -321,8 +319,8 @@
   if (now < row.paused_until) {
     return std::nullopt;
   }
-  const auto current = documents_.in_force(document);
-  const std::uint64_t known = current ? current->version : 0;
+  const auto* current = documents_.find_in_force(document);
+  const std::uint64_t known = current != nullptr ? current->version : 0;
   const bool coordinates = election_.current_part(now) == coordination::part::coordinator;
   const std::string object = "config/" + document;
   if (coordinates && known > 0) {
