Answer headers that the HTTP library can't parse, with a reason

A Content-Length that is no number closed the connection without an answer, and a header field above 8 KiB got a bare 400: POCO rejects both before a handler is made. The listener's socket now checks the headers as they arrive and answers in the library's place.

--- a/source/node/http_front.cpp
+++ b/source/node/http_front.cpp
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <sstream>
 #include <utility>
 
 #include <Poco/Exception.h>
@@ -25,6 +26,8 @@
 #include <nlohmann/json.hpp>
 #include <sys/socket.h>
 
+#include "node/header_check.h"
+
 namespace damaskledge::node {
 
 namespace {
@@ -38,6 +41,8 @@
 constexpr std::size_t max_body_bytes_held = 67'108'864;
 /// An unread body up to this size is read and dropped, so that the connection can be kept.
 constexpr std::size_t max_discarded_bytes = 65'536;
+/// Time for the rest of a refused request to arrive.
+const Poco::Timespan refusal_linger(0, 200'000);
 constexpr std::size_t max_announcement_bytes = 4'096;
 
 Poco::Timespan to_timespan(duration value) {
@@ -49,13 +54,14 @@
   return dynamic_cast<Poco::Net::HTTPServerRequestImpl&>(request).socket();
 }
 
-/// Bounds the time from the first to the last byte of a request's headers. The HTTP library's own
-/// timeout starts anew with each byte, so a caller that sends one byte now and then would hold a
-/// thread for ever.
+/// Bounds the time from the first to the last byte of a request's headers and checks them as they
+/// arrive. The HTTP library's own timeout starts anew with each byte, so a caller that sends one
+/// byte now and then would hold a thread for ever.
 class caller_socket : public Poco::Net::StreamSocketImpl {
  public:
-  caller_socket(poco_socket_t descriptor, duration header_timeout)
-      : StreamSocketImpl(descriptor), header_timeout_(header_timeout) {}
+  caller_socket(poco_socket_t descriptor, const config::node_settings& settings)
+      : StreamSocketImpl(descriptor), header_timeout_(settings.header_timeout),
+        check_(settings.max_header_bytes) {}
 
   int receiveBytes(void* buffer, int length, int flags) override { // NOLINT
     if (!in_request_) {
@@ -67,25 +73,64 @@
       }
       setReceiveTimeout(to_timespan(left));
     }
-    return StreamSocketImpl::receiveBytes(buffer, length, flags);
+    const int n = StreamSocketImpl::receiveBytes(buffer, length, flags);
+    if (!in_request_ && n > 0) {
+      const auto size = static_cast<std::size_t>(n);
+      if (const auto refused = check_.feed({static_cast<const char*>(buffer), size})) {
+        refuse(*refused);
+      }
+    }
+    return n;
   }
 
   void headers_ended() {
     in_request_ = true;
     headers_began_.reset();
   }
-  void request_ended() { in_request_ = false; }
+  void request_ended() {
+    in_request_ = false;
+    check_.reset();
+  }
 
  private:
+  /// Answers in place of the HTTP library and ends the connection.
+  [[noreturn]] void refuse(const refusal& why) {
+    const caller_answer answer = refusal_answer(why, to_string(random_id()));
+    Poco::Net::HTTPResponse head(Poco::Net::HTTPMessage::HTTP_1_1,
+                                 static_cast<Poco::Net::HTTPResponse::HTTPStatus>(answer.status));
+    for (const auto& [name, value] : answer.headers) {
+      head.add(name, value);
+    }
+    head.setKeepAlive(false);
+    head.setContentLength64(static_cast<Poco::Int64>(answer.body.size()));
+    std::ostringstream text;
+    head.write(text);
+    text << answer.body;
+    const std::string bytes = text.str();
+    StreamSocketImpl::sendBytes(bytes.data(), static_cast<int>(bytes.size()), 0);
+    shutdownSend();
+    // Unread bytes would make the system reset the connection and lose the answer.
+    setReceiveTimeout(refusal_linger);
+    std::array<char, 4'096> buf{};
+    std::size_t dropped = 0;
+    int n = 1;
+    while (n > 0 && dropped < max_discarded_bytes) {
+      n = StreamSocketImpl::receiveBytes(buf.data(), static_cast<int>(buf.size()), 0);
+      dropped += static_cast<std::size_t>(std::max(n, 0));
+    }
+    throw Poco::Net::ConnectionAbortedException(why.detail);
+  }
+
   duration header_timeout_;
+  header_check check_;
   bool in_request_ = false;
   std::optional<time_point> headers_began_;
 };
 
 class listening_socket_implementation : public Poco::Net::ServerSocketImpl {
  public:
-  explicit listening_socket_implementation(duration header_timeout)
-      : header_timeout_(header_timeout) {}
+  explicit listening_socket_implementation(const config::node_settings& settings)
+      : settings_(settings) {}
 
   Poco::Net::SocketImpl* acceptConnection(Poco::Net::SocketAddress& caller) override {
     sockaddr_storage address{};
@@ -100,17 +145,18 @@
     }
     // NOLINTNEXTLINE(cppcoreguidelines-pro-type-reinterpret-cast)
     caller = Poco::Net::SocketAddress(reinterpret_cast<sockaddr*>(&address), length);
-    return new caller_socket(descriptor, header_timeout_);
+    return new caller_socket(descriptor, settings_);
   }
 
  private:
-  duration header_timeout_;
+  const config::node_settings& settings_;
 };
 
 class listening_socket : public Poco::Net::ServerSocket {
  public:
-  listening_socket(const Poco::Net::SocketAddress& address, int backlog, duration header_timeout)
-      : ServerSocket(new listening_socket_implementation(header_timeout), true) {
+  listening_socket(const Poco::Net::SocketAddress& address, int backlog,
+                   const config::node_settings& settings)
+      : ServerSocket(new listening_socket_implementation(settings), true) {
     bind(address, true);
     listen(backlog);
   }
@@ -535,8 +581,7 @@
   params->setKeepAlive(true);
   params->setKeepAliveTimeout(to_timespan(state_.settings.idle_timeout));
   params->setTimeout(to_timespan(state_.settings.header_timeout));
-  const listening_socket socket(Poco::Net::SocketAddress(address, port), 1'024,
-                                state_.settings.header_timeout);
+  const listening_socket socket(Poco::Net::SocketAddress(address, port), 1'024, state_.settings);
   result.server =
       std::make_unique<Poco::Net::HTTPServer>(std::move(factory), *result.threads, socket, params);
   result.server->start();
