List the names of alive members without copying their records

Cause: each tick copied the records of all alive members of the data centre, only to pass their names to the election.

Change: member_table::alive_names.

--- a/source/core/core.cpp
+++ b/source/core/core.cpp
@@ -144,9 +144,7 @@
 
 void control_core::tick_coordination(time_point now, unix_milliseconds wall, effects& out) {
   coordination::view view;
-  for (const auto& it : members_.alive(settings_.data_centre)) {
-    view.alive.push_back(it.name);
-  }
+  view.alive = members_.alive_names(settings_.data_centre);
   const time_point since = now - settings_.coordinator_term;
   view.heard_recently = members_.heard_since(settings_.data_centre, since);
   if (!election_.platform_reachable()) {
--- a/source/membership/member_table.cpp
+++ b/source/membership/member_table.cpp
@@ -729,6 +729,16 @@
   return result;
 }
 
+std::vector<std::string> member_table::alive_names(const std::string& data_centre) const {
+  std::vector<std::string> result;
+  for (const auto& [name, row] : rows_) {
+    if (row.record.data_centre == data_centre && is_alive(row)) {
+      result.push_back(name);
+    }
+  }
+  return result;
+}
+
 std::optional<member_state> member_table::state_of(const std::string& name) const {
   const auto row = rows_.find(name);
   return row == rows_.end() ? std::nullopt : std::optional(row->second.record.state);
--- a/source/membership/membership.h
+++ b/source/membership/membership.h
@@ -82,6 +82,8 @@
   std::optional<wire::member_state> state_of(const std::string& name) const;
   /// Up, draining or suspect members of a data centre.
   std::vector<wire::member_record> alive(const std::string& data_centre) const;
+  /// Names of the same members, in order, without copies of their records.
+  std::vector<std::string> alive_names(const std::string& data_centre) const;
   /// Rises whenever a member, its state or its services change.
   std::uint64_t change_count() const;
 
