--- a/source/bench/table_series.cpp
+++ b/source/bench/table_series.cpp
@@ -35,6 +35,8 @@
   const auto give = [&](std::string_view name, const std::string& content) {
     const std::string document(name);
     result->on_document_answer(now, document, platform::found{{"config/" + document, 1, content}});
+    // A starting node may wait for the answer that its first version is the current one.
+    result->on_document_answer(now, document, platform::unchanged{});
   };
   give(config::lists_document, lists);
   give(config::keys_document, keys);
