Quote no text of the file in a JSON syntax error

Cause: nlohmann-json's last token is everything read since the last string or number began.

Ruled out: fixing the choice of what to quote. A secret written without its quotes is a number to the parser and would still be quoted.

Change: the text read last is never quoted, neither by the project nor by the library's message. File, line, field and reason stay.

Conclusion: no syntax error can show a secret.

--- a/source/config/located_json.cpp
+++ b/source/config/located_json.cpp
@@ -88,24 +88,20 @@
     return true;
   }
 
-  bool parse_error(std::size_t /*position*/, const std::string& last_token,
+  bool parse_error(std::size_t /*position*/, const std::string& /*last_token*/,
                    const nlohmann::detail::exception& error) override {
     std::string reason = error.what();
     // The library's text starts with its own exception name and position.
     if (const auto it = reason.find(": "); it != std::string::npos) {
       reason.erase(0, it + 2);
     }
-    // A string or a comment may hold a secret: before the syntax is right, it is not known to which
-    // member it belongs. The library's text quotes the token after this mark.
-    std::string found = "text that is not JSON";
-    if (last_token.starts_with('"') || last_token.starts_with('/')) {
-      reason.erase(std::min(reason.find("; last read: "), reason.size()));
-    } else {
-      found += " near '" + printable(last_token) + "'";
-    }
-    errors_.push_back(
-        {result_.file, consumed_.line, frames_.empty() ? std::string() : frames_.back().member_path,
-         found + " (" + reason + ")", "correct the JSON syntax; comments are // and /* */"});
+    // It ends with what was read last, which may hold a secret: before the syntax is right, it is
+    // not known to which member a text belongs.
+    reason.erase(std::min(reason.find("; last read: "), reason.size()));
+    errors_.push_back({result_.file, consumed_.line,
+                       frames_.empty() ? std::string() : frames_.back().member_path,
+                       "text that is not JSON (" + reason + ")",
+                       "correct the JSON syntax; comments are // and /* */"});
     return false;
   }
 
@@ -117,17 +113,6 @@
     std::string member_path;
   };
 
-  static std::string printable(std::string text) {
-    constexpr std::size_t limit = 40;
-    if (text.size() > limit) {
-      text = text.substr(text.size() - limit);
-    }
-    std::replace_if(
-        text.begin(), text.end(),
-        [](char it) { return static_cast<unsigned char>(it) < 0x20 || it == '\x7f'; }, ' ');
-    return text;
-  }
-
   json* place(json value) {
     if (frames_.empty()) {
       result_.value = std::move(value);
--- a/tests/config/settings_test.cpp
+++ b/tests/config/settings_test.cpp
@@ -112,12 +112,13 @@
 
 TEST_CASE("A syntax error does not quote a secret") {
   // Guards against a secret in a log: found by the fuzz target node_settings, which broke the
-  // string of the secret. The whole message names file and line only.
+  // string of the secret. The message gives file, line, field and reason.
   const std::string secret = "0123456789abcdef0123456789abcdef";
   const std::string quoted = "\"" + secret + "\"";
   for (const std::string& broken :
        {"\"" + secret + "\xff\"", "\"" + secret + "\n\"", "\"" + secret + "\\q\"", "\"\" " + quoted,
-        "/* " + secret, quoted + " " + quoted, "[" + quoted + "}"}) {
+        "/* " + secret, "3 // " + secret + "\n x", "9" + secret, quoted + " " + quoted,
+        "[" + quoted + "}"}) {
     const auto errors = errors_with(quoted, broken);
     REQUIRE(errors.size() == 1);
     CAPTURE(broken);
