Print an error of a file on one line

Cause: the field and the text found come from the file. A member name with an escaped newline put a line break into the message, which could forge a line of a log.

Ruled out: texts found in values; they are printed as JSON, with escapes.

Change: to_string(parse_error) replaces control characters by blanks.

Conclusion: an error is one line, as its documentation says.

--- a/source/common/common.cpp
+++ b/source/common/common.cpp
@@ -1,5 +1,6 @@
 #include "common/common.h"
 
+#include <algorithm>
 #include <atomic>
 #include <cstdlib>
 #include <memory>
@@ -252,7 +253,12 @@
   if (!error.field.empty()) {
     result += error.field + ": ";
   }
-  return result + "found " + error.found + "; " + error.remedy;
+  result += "found " + error.found + "; " + error.remedy;
+  // Fields and texts found come from files, where a name may contain an escaped newline.
+  std::replace_if(
+      result.begin(), result.end(),
+      [](char it) { return static_cast<unsigned char>(it) < 0x20 || it == '\x7f'; }, ' ');
+  return result;
 }
 
 std::string to_string(const environment_error& error) {
--- a/tests/common/common_test.cpp
+++ b/tests/common/common_test.cpp
@@ -51,5 +51,12 @@
   CHECK_FALSE(equal_constant_time("abc", "abd"));
 }
 
+TEST_CASE("an error of a file is one line") {
+  // Guards against a name with an escaped newline that forges a log line: found by the fuzz target
+  // operator_lists.
+  const parse_error error{"plans.json", 3, "plans\nerror: x", "string \r\x1b[1m\x7f", "rename it"};
+  CHECK(to_string(error) == "plans.json:3: plans error: x: found string   [1m ; rename it");
+}
+
 } // namespace
 } // namespace damaskledge
