Redact keys in the names of the load tool's key file

Cause: parse_keys names the account whose key is not one. When an operator swaps name and key, that name is the key.

Ruled out: the text of values and of syntax errors; neither is quoted.

Change: the name goes through telemetry::redact_keys.

Figures: a run of 75 s of the target load_scenario found the fault.

Conclusion: an error of a key file contains no key of the usual form.

--- a/source/load/scenario.cpp
+++ b/source/load/scenario.cpp
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 
 #include "load/load.h"
+#include "telemetry/telemetry.h"
 
 namespace damaskledge::load {
 
@@ -334,8 +335,10 @@
                                        "give an object of account names and keys"});
   }
   for (const auto& [name, key] : document.items()) {
+    // Where name and key are swapped, the name is a key.
     if (!key.is_string() || !key.template get_ref<const std::string&>().starts_with("dlk_")) {
-      return leaf::new_error(parse_error{std::string(file), 0, name, "something that is not a key",
+      return leaf::new_error(parse_error{std::string(file), 0, telemetry::redact_keys(name),
+                                         "something that is not a key",
                                          "give the key that damaskledgectl printed"});
     }
     result[name] = key.template get<std::string>();
--- a/tests/load/scenario_test.cpp
+++ b/tests/load/scenario_test.cpp
@@ -134,7 +134,9 @@
   };
   for (const char* it :
        {R"({"growers": "dlk_0123_secret" "x": "dlk_4567_secret"})", R"({"growers": "secret"})",
-        R"(["dlk_0123_secret"])", R"({"growers": ["dlk_0123_secret"]})", "\"dlk_0123_secret\""}) {
+        R"(["dlk_0123_secret"])", R"({"growers": ["dlk_0123_secret"]})", "\"dlk_0123_secret\"",
+        // Name and key swapped: found by the fuzz target load_scenario.
+        R"({"dlk_0123_secret": "growers"})"}) {
     const std::string message = message_of(it);
     CAPTURE(it);
     CHECK(message.find("keys.json") == 0);
