Refuse a null byte in an answer whose length is not given

Cause: nlohmann-json takes a null byte for the end of the text, so that an answer without Content-Length that was cut after such a byte counted as whole.

Ruled out: answers with Content-Length; their length is compared.

Change: check_body refuses a body with a null byte, which JSON never has.

--- a/source/platform/http_answer.cpp
+++ b/source/platform/http_answer.cpp
@@ -72,8 +72,11 @@
                : "the answer is truncated";
   }
   // Without a length, the end of the connection looks like the end of the body. No proper
-  // prefix of a JSON object is valid JSON.
-  return body.empty() || nlohmann::json::accept(body) ? std::string{} : "the answer is truncated";
+  // prefix of a JSON object is valid JSON. The parser takes a null byte for the end of the text, so
+  // that what follows would go unchecked.
+  const bool whole =
+      body.find('\0') == std::string_view::npos && (body.empty() || nlohmann::json::accept(body));
+  return whole ? std::string{} : "the answer is truncated";
 }
 
 } // namespace damaskledge::platform
