--- a/source/node/http_front.cpp
+++ b/source/node/http_front.cpp
@@ -2,11 +2,9 @@
 
 #include <algorithm>
 #include <array>
-#include <cerrno>
 #include <functional>
 #include <memory>
 #include <optional>
-#include <sstream>
 #include <utility>
 
 #include <Poco/Exception.h>
@@ -18,15 +16,12 @@
 #include <Poco/Net/HTTPServerResponse.h>
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/ServerSocket.h>
-#include <Poco/Net/ServerSocketImpl.h>
 #include <Poco/Net/SocketAddress.h>
-#include <Poco/Net/StreamSocketImpl.h>
-#include <Poco/URI.h>
 #include <glog/logging.h>
-#include <nlohmann/json.hpp>
 #include <sys/socket.h>
 
-#include "node/header_check.h"
+#include "node/caller_socket.h"
+#include "node/operator_pages.h"
 
 namespace damaskledge::node {
 
@@ -41,143 +36,6 @@
 constexpr std::size_t max_body_bytes_held = 67'108'864;
 /// An unread body up to this size is read and dropped, so that the connection can be kept.
 constexpr std::size_t max_discarded_bytes = 65'536;
-/// Time for the rest of a refused request to arrive.
-const Poco::Timespan refusal_linger(0, 200'000);
-constexpr std::size_t max_announcement_bytes = 4'096;
-
-Poco::Timespan to_timespan(duration value) {
-  return {std::max<Poco::Timespan::TimeDiff>(
-      std::chrono::duration_cast<std::chrono::microseconds>(value).count(), 1'000)};
-}
-
-Poco::Net::StreamSocket& socket_of(Poco::Net::HTTPServerRequest& request) {
-  return dynamic_cast<Poco::Net::HTTPServerRequestImpl&>(request).socket();
-}
-
-/// Bounds the time from the first to the last byte of a request's headers and checks them as they
-/// arrive. The HTTP library's own timeout starts anew with each byte, so a caller that sends one
-/// byte now and then would hold a thread for ever.
-class caller_socket : public Poco::Net::StreamSocketImpl {
- public:
-  caller_socket(poco_socket_t descriptor, const config::node_settings& settings)
-      : StreamSocketImpl(descriptor), header_timeout_(settings.header_timeout),
-        check_(settings.max_header_bytes) {}
-
-  int receiveBytes(void* buffer, int length, int flags) override { // NOLINT
-    if (!in_request_) {
-      const time_point now = clock_type::now();
-      headers_began_ = headers_began_.value_or(now);
-      const duration left = *headers_began_ + header_timeout_ - now;
-      if (left <= duration{0}) {
-        throw Poco::TimeoutException("the headers did not arrive in time");
-      }
-      setReceiveTimeout(to_timespan(left));
-    }
-    const int n = StreamSocketImpl::receiveBytes(buffer, length, flags);
-    if (!in_request_ && n > 0) {
-      const auto size = static_cast<std::size_t>(n);
-      if (const auto refused = check_.feed({static_cast<const char*>(buffer), size})) {
-        refuse(*refused);
-      }
-    }
-    return n;
-  }
-
-  void headers_ended() {
-    in_request_ = true;
-    headers_began_.reset();
-  }
-  void request_ended() {
-    in_request_ = false;
-    check_.reset();
-  }
-
- private:
-  /// Answers in place of the HTTP library and ends the connection.
-  [[noreturn]] void refuse(const refusal& why) {
-    const caller_answer answer = refusal_answer(why, to_string(random_id()));
-    Poco::Net::HTTPResponse head(Poco::Net::HTTPMessage::HTTP_1_1,
-                                 static_cast<Poco::Net::HTTPResponse::HTTPStatus>(answer.status));
-    for (const auto& [name, value] : answer.headers) {
-      head.add(name, value);
-    }
-    head.setKeepAlive(false);
-    head.setContentLength64(static_cast<Poco::Int64>(answer.body.size()));
-    std::ostringstream text;
-    head.write(text);
-    text << answer.body;
-    const std::string bytes = text.str();
-    StreamSocketImpl::sendBytes(bytes.data(), static_cast<int>(bytes.size()), 0);
-    shutdownSend();
-    // Unread bytes would make the system reset the connection and lose the answer.
-    setReceiveTimeout(refusal_linger);
-    std::array<char, 4'096> buf{};
-    std::size_t dropped = 0;
-    int n = 1;
-    while (n > 0 && dropped < max_discarded_bytes) {
-      n = StreamSocketImpl::receiveBytes(buf.data(), static_cast<int>(buf.size()), 0);
-      dropped += static_cast<std::size_t>(std::max(n, 0));
-    }
-    throw Poco::Net::ConnectionAbortedException(why.detail);
-  }
-
-  duration header_timeout_;
-  header_check check_;
-  bool in_request_ = false;
-  std::optional<time_point> headers_began_;
-};
-
-class listening_socket_implementation : public Poco::Net::ServerSocketImpl {
- public:
-  explicit listening_socket_implementation(const config::node_settings& settings)
-      : settings_(settings) {}
-
-  Poco::Net::SocketImpl* acceptConnection(Poco::Net::SocketAddress& caller) override {
-    sockaddr_storage address{};
-    socklen_t length = sizeof(address);
-    poco_socket_t descriptor = -1;
-    do {
-      // NOLINTNEXTLINE(cppcoreguidelines-pro-type-reinterpret-cast)
-      descriptor = ::accept(sockfd(), reinterpret_cast<sockaddr*>(&address), &length);
-    } while (descriptor < 0 && errno == EINTR);
-    if (descriptor < 0) {
-      error();
-    }
-    // NOLINTNEXTLINE(cppcoreguidelines-pro-type-reinterpret-cast)
-    caller = Poco::Net::SocketAddress(reinterpret_cast<sockaddr*>(&address), length);
-    return new caller_socket(descriptor, settings_);
-  }
-
- private:
-  const config::node_settings& settings_;
-};
-
-class listening_socket : public Poco::Net::ServerSocket {
- public:
-  listening_socket(const Poco::Net::SocketAddress& address, int backlog,
-                   const config::node_settings& settings)
-      : ServerSocket(new listening_socket_implementation(settings), true) {
-    bind(address, true);
-    listen(backlog);
-  }
-};
-
-/// Tells the connection's socket when the headers of a request end and when its handler ends.
-class timed_handler : public Poco::Net::HTTPRequestHandler {
- public:
-  explicit timed_handler(Poco::Net::HTTPRequestHandler* inner) : inner_(inner) {}
-
-  void handleRequest(Poco::Net::HTTPServerRequest& request,
-                     Poco::Net::HTTPServerResponse& response) override {
-    auto& socket = dynamic_cast<caller_socket&>(*socket_of(request).impl());
-    socket.headers_ended();
-    inner_->handleRequest(request, response);
-    socket.request_ended();
-  }
-
- private:
-  std::unique_ptr<Poco::Net::HTTPRequestHandler> inner_;
-};
 
 refusal malformed(std::string detail) {
   return {refusal_reason::malformed_request, outcome::not_run, milliseconds(0), std::move(detail)};
@@ -311,24 +169,6 @@
   return total == expected;
 }
 
-void write_answer(Poco::Net::HTTPServerResponse& response, const caller_answer& answer,
-                  bool head_only) {
-  response.setStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(answer.status));
-  response.setReason(Poco::Net::HTTPResponse::getReasonForStatus(response.getStatus()));
-  for (const auto& [name, value] : answer.headers) {
-    response.add(name, value);
-  }
-  const bool has_body = answer.status != 204 && answer.status != 304;
-  if (has_body) {
-    response.setContentLength64(static_cast<Poco::Int64>(answer.body.size()));
-  }
-  std::ostream& out = response.send();
-  if (has_body && !head_only) {
-    out.write(answer.body.data(), static_cast<std::streamsize>(answer.body.size()));
-  }
-  out.flush();
-}
-
 /// Requests of callers, and inner calls on the local port.
 class call_handler : public Poco::Net::HTTPRequestHandler {
  public:
@@ -392,167 +232,6 @@
   bool inner_;
 };
 
-/// Announcements of the VM's own upstreams.
-class announcement_handler : public Poco::Net::HTTPRequestHandler {
- public:
-  explicit announcement_handler(front_state& state) : state_(state) {}
-
-  void handleRequest(Poco::Net::HTTPServerRequest& request,
-                     Poco::Net::HTTPServerResponse& response) override {
-    const std::string error = apply(request);
-    caller_answer answer;
-    answer.status = error.empty() ? 204 : 400;
-    if (!error.empty()) {
-      answer.headers = {{"Content-Type", "application/problem+json"}};
-      answer.body = nlohmann::json{{"reason", "malformed-request"}, {"detail", error}}.dump();
-    }
-    write_answer(response, answer, false);
-  }
-
- private:
-  /// @return an empty text, or what is wrong with the request.
-  std::string apply(Poco::Net::HTTPServerRequest& request) {
-    if (request.getMethod() != "POST" || !request.hasContentLength() ||
-        request.getContentLength64() > static_cast<Poco::Int64>(max_announcement_bytes)) {
-      return "send a POST with a Content-Length of at most 4096 bytes";
-    }
-    std::string text(static_cast<std::size_t>(request.getContentLength64()), '\0');
-    request.stream().read(text.data(), static_cast<std::streamsize>(text.size()));
-    const auto body = nlohmann::json::parse(text, nullptr, false);
-    const auto is_number = [&](const char* name, std::int64_t low, std::int64_t high) {
-      return body.contains(name) && body[name].is_number_integer() &&
-             body[name].get<std::int64_t>() >= low && body[name].get<std::int64_t>() <= high;
-    };
-    if (!body.is_object() || !body.contains("service") || !body["service"].is_string() ||
-        body["service"].get<std::string>().empty() ||
-        body["service"].get<std::string>().size() > 64 || !is_number("port", 1, 65'535)) {
-      return "give \"service\" (1 to 64 characters) and \"port\" (1 to 65535)";
-    }
-    const auto service = body["service"].get<std::string>();
-    const auto port = body["port"].get<std::uint16_t>();
-    const std::string action = request.getURI();
-    if (action == "/.damaskledge/drain") {
-      state_.control.drain(service, port);
-      return {};
-    }
-    if (action == "/.damaskledge/leave") {
-      state_.control.leave(service, port);
-      return {};
-    }
-    if (action != "/.damaskledge/announce") {
-      return "the actions are announce, drain and leave";
-    }
-    if (!is_number("slots", 1, 100'000) || !is_number("connections", 1, 100'000)) {
-      return "give \"slots\" and \"connections\" (1 to 100000)";
-    }
-    wire::service_record record;
-    record.service = service;
-    record.port = port;
-    record.slots = body["slots"].get<std::uint32_t>();
-    record.connections = body["connections"].get<std::uint32_t>();
-    const auto instance = body.find("instance");
-    record.instance = instance == body.end() ? 0 : hash64(instance->dump());
-    state_.control.announce(record);
-    return {};
-  }
-
-  front_state& state_;
-};
-
-/// Metrics, status and explanations for operators.
-class operator_handler : public Poco::Net::HTTPRequestHandler {
- public:
-  explicit operator_handler(front_state& state) : state_(state) {}
-
-  void handleRequest(Poco::Net::HTTPServerRequest& request,
-                     Poco::Net::HTTPServerResponse& response) override {
-    const Poco::URI uri(request.getURI());
-    caller_answer answer;
-    answer.status = 200;
-    std::string type = "application/json";
-    if (uri.getPath() == "/metrics") {
-      type = "text/plain; version=0.0.4";
-      answer.body = exposition();
-    } else if (uri.getPath() == "/status") {
-      answer.body = state_.control.describe();
-    } else if (uri.getPath() == "/targets") {
-      answer.body = targets();
-    } else if (uri.getPath() == "/explain") {
-      explain(uri, answer);
-    } else {
-      answer.status = 404;
-      answer.body = R"({"detail": "the pages are /metrics, /status, /targets and /explain"})";
-    }
-    answer.headers = {{"Content-Type", type}};
-    write_answer(response, answer, false);
-  }
-
- private:
-  /// @return the request metrics and those of the parts that count for themselves.
-  std::string exposition() {
-    std::vector<telemetry::limit_sample> limits;
-    for (const auto& it : state_.routes.targets()) {
-      limits.push_back({it.id, it.limit, it.in_flight});
-    }
-    auto& metrics = state_.reports.metrics();
-    metrics.limits(limits);
-    for (const auto& it : state_.routes.own_shed_levels()) {
-      metrics.shed_level(it.service, it.level);
-    }
-    const auto& traffic = state_.control.traffic();
-    metrics.set("damaskledge_in_flight", "Requests in flight", state_.in_flight);
-    metrics.set("damaskledge_connections", "Open connections of callers",
-                state_.caller_listener->currentConnections());
-    metrics.set("damaskledge_peer_sent_bytes", "Bytes sent to other nodes",
-                static_cast<double>(traffic.bytes_sent));
-    metrics.set("damaskledge_peer_received_bytes", "Bytes received from other nodes",
-                static_cast<double>(traffic.bytes_received));
-    metrics.set("damaskledge_peer_dropped_frames", "Frames that were dropped",
-                static_cast<double>(traffic.dropped));
-    metrics.set("damaskledge_ticker_seconds", "Processor time of the control ticker",
-                std::chrono::duration<double>(state_.control.ticker_time()).count());
-    double calls = 0;
-    for (const auto& it : state_.control.platform_calls()) {
-      calls += static_cast<double>(it.count);
-    }
-    metrics.set("damaskledge_platform_calls", "Calls to the platform since the start", calls);
-    return metrics.exposition();
-  }
-
-  std::string targets() {
-    auto result = nlohmann::json::array();
-    for (const auto& it : state_.routes.targets()) {
-      const auto ms = [](duration value) {
-        return std::chrono::duration<double, std::milli>(value).count();
-      };
-      result.push_back({{"id", it.id},
-                        {"service", it.service},
-                        {"limit", it.limit},
-                        {"in_flight", it.in_flight},
-                        {"excluded", it.excluded},
-                        {"draining", it.draining},
-                        {"latency_ms", ms(it.smoothed_latency)},
-                        {"minimum_latency_ms", ms(it.minimum_latency)}});
-    }
-    return result.dump();
-  }
-
-  void explain(const Poco::URI& uri, caller_answer& answer) {
-    for (const auto& [name, value] : uri.getQueryParameters()) {
-      if (name == "request") {
-        if (const auto found = state_.reports.explain(value)) {
-          answer.body = *found;
-          return;
-        }
-      }
-    }
-    answer.status = 404;
-    answer.body = R"({"detail": "this node has no refusal of that request"})";
-  }
-
-  front_state& state_;
-};
-
 /// Makes a handler for each request with a function.
 class handler_factory : public Poco::Net::HTTPRequestHandlerFactory {
  public:
@@ -561,7 +240,7 @@
 
   Poco::Net::HTTPRequestHandler*
   createRequestHandler(const Poco::Net::HTTPServerRequest& request) override {
-    return new timed_handler(make_(request));
+    return make_timed_handler(make_(request));
   }
 
  private:
@@ -592,12 +271,12 @@
   const auto& settings = state.settings;
   metrics_ =
       listen(settings.address, settings.metrics_port, metrics_threads,
-             new handler_factory([&state](const auto&) { return new operator_handler(state); }));
+             new handler_factory([&state](const auto&) { return make_operator_handler(state); }));
   local_ =
       listen(settings.address, settings.local_port, local_threads,
              new handler_factory([&state](const auto& request) -> Poco::Net::HTTPRequestHandler* {
                if (request.getURI().starts_with("/.damaskledge/")) {
-                 return new announcement_handler(state);
+                 return make_announcement_handler(state);
                }
                return new call_handler(state, true);
              }));
--- a/source/node/upstream_client.h
+++ b/source/node/upstream_client.h
@@ -16,11 +16,10 @@
 
 #include "common/common.h"
 #include "node/cut_filter.h"
+#include "node/headers.h"
 
 namespace damaskledge::node {
 
-using header_list = std::vector<std::pair<std::string, std::string>>;
-
 /// What is sent to the upstream.
 struct upstream_request {
   std::string method;
