Leave coordinators that live in place after an outage of the platform

After an outage of 5 s one or two of three data centres replaced a coordinator that was alive. The successor waits for the term of such a predecessor, so the data centre had none for 3 s, granted no tokens, and refused every request as rate-exceeded.

Two causes together. The platform client backs off for up to 5 s, longer than the coordinator's term of 3 s, so a holder could be silent until its term was over while a candidate with a shorter wait had already read the object. And a candidate counted the outage itself as silence of the holder. The majority rule was ruled out: coordinators stopped after the outage, not during it.

The backoff is now bounded at 1 s, and a candidate leaves a holder that membership reports alive two renewal periods for its first renewal after an outage. Taking over later can't make two coordinators.

--- a/source/coordination/coordination.h
+++ b/source/coordination/coordination.h
@@ -135,6 +135,8 @@
   time_point next_call_{};
   std::optional<time_point> last_success_;
   bool reachable_ = false;
+  /// First answer of the platform after an outage.
+  time_point reachable_since_{};
   /// Set when gossip tells of a term that the object, as last read, does not show.
   bool read_wanted_ = false;
 
--- a/source/coordination/election.cpp
+++ b/source/coordination/election.cpp
@@ -23,6 +23,8 @@
 constexpr std::int64_t jitter_ms = 100;
 /// A call without an answer for this many lease terms is given up; its write id stays known.
 constexpr int abandoned_after_terms = 3;
+/// Renewal periods for which a living holder is left alone after an outage of the platform.
+constexpr int renewals_after_outage = 2;
 
 std::string object_name(const std::string& data_centre) {
   return "coordinator/" + data_centre;
@@ -182,6 +184,13 @@
   if (object_is_own()) {
     return true;
   }
+  // The outage of the platform hid the holder's renewals as well; a holder that is alive needs
+  // time for the first one after it. A takeover from it would leave the data centre without a
+  // coordinator until the holder's term has ended.
+  if (contains(seen_.alive, object_.holder) &&
+      now - reachable_since_ < renewals_after_outage * options_.renew_period) {
+    return false;
+  }
   const auto place = position();
   auto wait = take_delay_ + position_delay * static_cast<int>(place);
   if (place >= options_.candidates) {
@@ -337,6 +346,9 @@
   }
   const auto call = *std::exchange(pending_, std::nullopt);
   const auto succeed = [&] {
+    if (!reachable_) {
+      reachable_since_ = now;
+    }
     reachable_ = true;
     last_success_ = now;
     base_members_ = seen_.alive;
--- a/source/platform/platform.h
+++ b/source/platform/platform.h
@@ -140,7 +140,9 @@
 class backoff {
  public:
   static constexpr milliseconds first_bound{50};
-  static constexpr milliseconds highest_bound{5'000};
+  /// Below the coordinator's term of 3 s: after an outage a holder must renew before a candidate
+  /// whose wait happened to be shorter takes its place.
+  static constexpr milliseconds highest_bound{1'000};
 
   explicit backoff(std::uint64_t seed);
 
