Count at most the missing calls as refused inside the rate

In a trial with one account at 5 times its rate, the report had 1,955 refused of 1,000 in-rate calls: while that account gets less than its rate, its bucket has tokens, and each of its many refusals counted.

--- a/source/load/load.h
+++ b/source/load/load.h
@@ -313,7 +313,9 @@
   std::uint64_t refused_in_rate = 0;
   /// Those of them whose reason is the rate.
   std::uint64_t rate_refused_in_rate = 0;
-  /// Calls that ended with such a refusal, whatever its reason.
+  /// Calls inside the rate that were refused: those that ended with such a refusal, but in each
+  /// stretch of `served_window` at most as many as lack to the in-rate demand. An account above
+  /// its rate has more refusals than that while its bucket has tokens.
   std::uint64_t calls_refused_in_rate = 0;
   /// Attempts admitted while that bucket lacked tokens; with slack.
   std::uint64_t admitted_above_rate = 0;
--- a/tests/load/measures_test.cpp
+++ b/tests/load/measures_test.cpp
@@ -274,6 +274,25 @@
   CHECK(above < 1'100);
 }
 
+// Guards against a measure in which an account that sends many times its rate has more requests
+// refused inside its rate than it has requests inside its rate.
+TEST_CASE("calls refused inside the rate are at most those that lack to the in-rate demand") {
+  const scenario value = scenario_of(500, 100, 50);
+  run_result result = answered(value, milliseconds{5});
+  std::uint64_t good = 0;
+  token_judge node(80, 10);
+  for (attempt_record& it : result.attempts) {
+    if (node.take(it.sent)) {
+      ++good;
+    } else {
+      refuse(it, refusal_reason::overloaded);
+    }
+  }
+  const account_report account = measure(value, result, std::nullopt).accounts.at(0);
+  CHECK(account.refused_in_rate > account.in_rate);
+  CHECK(account.calls_refused_in_rate == account.in_rate - good);
+}
+
 // Guards against a measure in which a generous surge hides an outage.
 TEST_CASE("calls answered above the rate do not make up for calls lost at another time") {
   scenario value = scenario_of(100, 100, 50);
