--- a/source/check/check.h
+++ b/source/check/check.h
@@ -73,6 +73,9 @@
   milliseconds simulated{0};
   std::uint64_t tokens_taken = 0;
   std::uint64_t tokens_refused = 0;
+  /// Requests inside an account's rate after the faults, and how many of them were refused.
+  std::uint64_t judged_requests = 0;
+  std::uint64_t judged_refusals = 0;
   std::uint64_t operations_run = 0;
   std::uint64_t operations_refused = 0;
   std::uint64_t configurations_applied = 0;
--- a/source/check/simulation.cpp
+++ b/source/check/simulation.cpp
@@ -439,11 +439,12 @@
   const bool late = judged && healed_ && now_ > healed_at_ + recovery_time;
   if (taken != shares::take_result::taken) {
     ++result_.tokens_refused;
-    late_refused_ += late ? 1 : 0;
+    result_.judged_requests += late ? 1 : 0;
+    result_.judged_refusals += late ? 1 : 0;
     return true;
   }
   ++result_.tokens_taken;
-  late_taken_ += late ? 1 : 0;
+  result_.judged_requests += late ? 1 : 0;
   if (const auto wrong = oracle_.admitted(seconds_now(), it.account, limits_[it.account])) {
     fail("rate and burst", *wrong);
   }
@@ -749,10 +750,11 @@
     fail("one coordinator", "a data centre has had no coordinator");
   }
   // Fewer than 1 in 1,000 requests inside an account's rate may be refused; docs/design.md.
-  const std::uint64_t late = late_taken_ + late_refused_;
-  if (late > 1'000 && late_refused_ * 1'000 > late) {
+  if (result_.judged_requests > 1'000 &&
+      result_.judged_refusals * 1'000 > result_.judged_requests) {
     fail("requests inside the rate are served",
-         std::to_string(late_refused_) + " of " + std::to_string(late) +
+         std::to_string(result_.judged_refusals) + " of " +
+             std::to_string(result_.judged_requests) +
              " requests inside the rate were refused after the faults");
   }
 }
--- a/source/check/simulation.h
+++ b/source/check/simulation.h
@@ -162,8 +162,6 @@
   bool healed_ = false;
   true_time healed_at_{0};
   std::uint64_t last_request_ = 0;
-  std::uint64_t late_taken_ = 0;
-  std::uint64_t late_refused_ = 0;
 
   std::vector<config::account> accounts_;
   std::map<std::string, shares::limit> limits_;
