Transfer thousandths of a token, and end a transfer by its receipt

Only whole tokens could be transferred. Given tokens also occupied the donor's burst of 1.2 to 2.4 for 200 ms, in which the donor could not hold one whole token. A donor whose answer was lost blocked the next request for 100 ms.

Change: transfers are counted in millitokens, and a coordinator asks for exactly what is missing. The recipient confirms a transfer with a receipt once the tokens are in its own sum, and the donor then stops counting them; without a receipt they end by time as before. While callers wait, donors are asked again after 15 ms, with a new sequence number. Less than a token and than half of what was wanted does not reset the backoff. The invariant is checked at each transfer as before, with the fraction. Tests of transfers state the same amounts in millitokens.

--- a/source/core/core.cpp
+++ b/source/core/core.cpp
@@ -262,7 +262,8 @@
       }
     } else if constexpr (std::is_same_v<type, wire::token_request> ||
                          std::is_same_v<type, wire::transfer_request> ||
-                         std::is_same_v<type, wire::transfer_grant>) {
+                         std::is_same_v<type, wire::transfer_grant> ||
+                         std::is_same_v<type, wire::transfer_receipt>) {
       if (allocating_ && part != coordination::part::follower) {
         append(out.messages, allocator_.receive(now, from));
       }
--- a/source/shares/allocator.cpp
+++ b/source/shares/allocator.cpp
@@ -12,6 +12,8 @@
 constexpr seconds holder_idle{10};
 /// Donors are asked at most this often for one account while they give.
 constexpr milliseconds transfer_interval{10};
+/// Callers that wait are not kept waiting for an answer of a donor for longer than this.
+constexpr milliseconds transfer_retry{15};
 /// Longest pause between requests to donors that have nothing to give. Bounds the messages of an
 /// account that stays above its rate, and still follows demand that moves.
 constexpr milliseconds transfer_backoff_limit{160};
@@ -30,6 +32,18 @@
   return static_cast<std::uint32_t>(std::clamp(std::floor(tokens + rounding), 0.0, largest));
 }
 
+constexpr double millitokens_per_token = 1'000;
+
+double tokens_of(std::uint64_t millitokens) {
+  return static_cast<double>(millitokens) / millitokens_per_token;
+}
+
+std::uint32_t whole_millitokens(double tokens) {
+  constexpr double largest = 4e9;
+  return static_cast<std::uint32_t>(
+      std::clamp(std::floor(tokens * millitokens_per_token + rounding), 0.0, largest));
+}
+
 } // namespace
 
 allocator::allocator(settings options, std::string data_centre)
@@ -117,7 +131,7 @@
 /// Tokens that may be added without passing the burst; negative while a lowered limit drains.
 double allocator::room(const account_row& row, time_point now) const {
   return row.current.burst - row.available - static_cast<double>(row.outstanding) -
-         static_cast<double>(row.given_tokens) - predecessor(row, now);
+         tokens_of(row.given_millitokens) - predecessor(row, now);
 }
 
 /// Tokens that the data centre's own nodes will soon want. They are kept available so that
@@ -141,7 +155,7 @@
 
 void allocator::release(account_row& row, time_point now) {
   while (!row.given.empty() && row.given.front().ends <= now) {
-    row.given_tokens -= row.given.front().tokens;
+    row.given_millitokens -= row.given.front().millitokens;
     row.given.pop_front();
   }
   if (row.next_end > now) {
@@ -205,7 +219,7 @@
 
 /// Checks the invariant for a decision that takes `tokens` out of the available ones, with sums
 /// made anew from the tables.
-bool allocator::may_spend(const std::string& account, const account_row& row, std::uint32_t tokens,
+bool allocator::may_spend(const std::string& account, const account_row& row, double tokens,
                           time_point now, std::string_view decision) const {
   std::uint64_t outstanding = 0;
   for (const auto& [key, who] : row.holders) {
@@ -214,20 +228,20 @@
     }
   }
   std::uint64_t given = 0;
-  for (const lot& it : row.given) {
-    given += it.tokens;
+  for (const given_lot& it : row.given) {
+    given += it.millitokens;
   }
-  const double total = row.available + static_cast<double>(outstanding) +
-                       static_cast<double>(given) + predecessor(row, now);
+  const double total =
+      row.available + static_cast<double>(outstanding) + tokens_of(given) + predecessor(row, now);
   if (active_ && tokens <= row.available + rounding && total <= row.current.burst + rounding) {
     return true;
   }
-  report_violation("share-sum", "account " + account + " " + std::string(decision) + " " +
-                                    std::to_string(tokens) + ": available " +
-                                    std::to_string(row.available) + ", outstanding " +
-                                    std::to_string(outstanding) + ", given " +
-                                    std::to_string(given) + ", total " + std::to_string(total) +
-                                    ", burst " + std::to_string(row.current.burst));
+  report_violation("share-sum",
+                   "account " + account + " " + std::string(decision) + " " +
+                       std::to_string(tokens) + ": available " + std::to_string(row.available) +
+                       ", outstanding " + std::to_string(outstanding) + ", given " +
+                       std::to_string(tokens_of(given)) + ", total " + std::to_string(total) +
+                       ", burst " + std::to_string(row.current.burst));
   return false;
 }
 
@@ -277,7 +291,7 @@
                            std::vector<wire::outgoing>& out) {
   std::erase_if(row.transfers,
                 [&](const auto& it) { return now - it.second.sent >= options_.transfer_ttl; });
-  if (donors_.empty() || !row.transfers.empty() || now < row.next_transfer) {
+  if (donors_.empty() || now < row.next_transfer) {
     return;
   }
   double unmet = 0;
@@ -286,22 +300,26 @@
     unmet += it == row.holders.end() ? 0 : it->second.waiting;
   }
   const double kept = reserve(row);
-  if (unmet == 0 && row.available >= kept) {
+  if (unmet == 0 && (row.available >= kept || !row.transfers.empty())) {
     return;
   }
-  std::uint32_t need = std::min(whole(unmet + 2 * kept - row.available), whole(room(row, now)));
-  if (need == 0 && unmet > 0 && row.available < 1 && room(row, now) + row.available >= 1) {
-    // The fraction that is lost over the burst costs less than a refusal.
-    need = 1;
+  // Callers do not wait for the whole time of a transfer, so a lost one must not delay the next.
+  const bool asked_just_now =
+      std::any_of(row.transfers.begin(), row.transfers.end(),
+                  [&](const auto& it) { return now - it.second.sent < transfer_retry; });
+  if (asked_just_now) {
+    return;
   }
-  if (need == 0) {
+  const double need = std::min(unmet + 2 * kept - row.available, room(row, now));
+  if (need <= 0) {
     return;
   }
-  const auto count = static_cast<std::uint32_t>(donors_.size());
+  // Rounded up, so that the parts add up to a whole token.
+  const std::uint32_t wanted =
+      whole_millitokens(need / static_cast<double>(donors_.size()) + 1 / millitokens_per_token);
   for (const donor& it : donors_) {
-    const std::uint32_t wanted = (need + count - 1) / count;
     const std::uint64_t sequence = ++next_sequence_;
-    row.transfers[it.data_centre] = {sequence, now, wanted};
+    row.transfers[sequence] = {it.data_centre, now, wanted};
     out.push_back({it.address, wire::transport::datagram,
                    wire::transfer_request{account, data_centre_, sequence, wanted}});
   }
@@ -342,7 +360,9 @@
   } else if (const auto* wanted = std::get_if<wire::transfer_request>(&from.body)) {
     handle(now, from, *wanted, out);
   } else if (const auto* grant = std::get_if<wire::transfer_grant>(&from.body)) {
-    handle(now, *grant, out);
+    handle(now, from, *grant, out);
+  } else if (const auto* receipt = std::get_if<wire::transfer_receipt>(&from.body)) {
+    handle(now, *receipt);
   }
   return out;
 }
@@ -406,56 +426,82 @@
     }
     seen->second = request.sequence;
   }
-  std::uint32_t tokens = 0;
+  std::uint32_t given = 0;
   if (row.queue.empty()) {
-    tokens = std::min(
-        {request.wanted, whole(row.available - reserve(row)), whole(std::ceil(row.available / 2))});
+    // Half of what is available, but of less than two tokens up to one.
+    const double half = std::max(1.0, row.available / 2);
+    given = std::min(request.wanted_millitokens,
+                     whole_millitokens(std::min(row.available - reserve(row), half)));
   }
-  if (tokens > 0 && !may_spend(request.account, row, tokens, now, "transfer")) {
-    tokens = 0;
+  if (given > 0 && !may_spend(request.account, row, tokens_of(given), now, "transfer")) {
+    given = 0;
   }
-  if (tokens > 0) {
-    row.available = std::max(0.0, row.available - tokens);
-    row.given.push_back({tokens, now + options_.transfer_ttl + options_.clock_margin});
-    row.given_tokens += tokens;
+  if (given > 0) {
+    row.available = std::max(0.0, row.available - tokens_of(given));
+    row.given.push_back({request.data_centre, request.sequence, given,
+                         now + options_.transfer_ttl + options_.clock_margin});
+    row.given_millitokens += given;
   }
   out.push_back({from.from, wire::transport::datagram,
-                 wire::transfer_grant{request.account, data_centre_, request.sequence, tokens}});
+                 wire::transfer_grant{request.account, data_centre_, request.sequence, given}});
 }
 
-void allocator::handle(time_point now, const wire::transfer_grant& grant,
-                       std::vector<wire::outgoing>& out) {
+void allocator::handle(time_point now, const wire::incoming& from,
+                       const wire::transfer_grant& grant, std::vector<wire::outgoing>& out) {
   const auto found = accounts_.find(grant.account);
   if (found == accounts_.end()) {
     return;
   }
   account_row& row = found->second;
   advance(row, now);
-  const auto it = row.transfers.find(grant.data_centre);
-  if (it == row.transfers.end() || it->second.sequence != grant.sequence) {
+  const auto it = row.transfers.find(grant.sequence);
+  if (it == row.transfers.end() || it->second.data_centre != grant.data_centre) {
     return;
   }
   const transfer asked = it->second;
   row.transfers.erase(it);
-  if (now - asked.sent >= options_.transfer_ttl || grant.tokens == 0) {
+  if (now - asked.sent >= options_.transfer_ttl || grant.millitokens == 0) {
     return;
   }
-  row.transfer_backoff = milliseconds{0};
-  row.next_transfer = std::min(row.next_transfer, asked.sent + transfer_interval);
-  const double tokens = std::min(grant.tokens, asked.wanted);
+  // Less than a token and than half of what was wanted does not bring the next request forward: a
+  // donor has that little after every wait, also for an account above its rate.
+  if (grant.millitokens >= millitokens_per_token ||
+      2 * std::uint64_t{grant.millitokens} >= asked.wanted_millitokens) {
+    row.transfer_backoff = milliseconds{0};
+    row.next_transfer = std::min(row.next_transfer, asked.sent + transfer_interval);
+  }
+  const double tokens = tokens_of(std::min(grant.millitokens, asked.wanted_millitokens));
   row.available += std::min(tokens, std::max(0.0, room(row, now)));
+  out.push_back({from.from, wire::transport::datagram,
+                 wire::transfer_receipt{grant.account, data_centre_, grant.sequence}});
   serve(grant.account, row, now, out);
   ask_donors(grant.account, row, now, out);
 }
 
+void allocator::handle(time_point now, const wire::transfer_receipt& receipt) {
+  const auto found = accounts_.find(receipt.account);
+  if (found == accounts_.end()) {
+    return;
+  }
+  account_row& row = found->second;
+  advance(row, now);
+  const auto it = std::find_if(row.given.begin(), row.given.end(), [&](const given_lot& lot) {
+    return lot.sequence == receipt.sequence && lot.data_centre == receipt.data_centre;
+  });
+  if (it != row.given.end()) {
+    row.given_millitokens -= it->millitokens;
+    row.given.erase(it);
+  }
+}
+
 double allocator::exposure(const std::string& account, time_point now) const {
   const auto found = accounts_.find(account);
   if (found == accounts_.end() || !active_) {
     return 0;
   }
   const account_row& row = found->second;
-  return row.available + static_cast<double>(row.outstanding) +
-         static_cast<double>(row.given_tokens) + predecessor(row, now);
+  return row.available + static_cast<double>(row.outstanding) + tokens_of(row.given_millitokens) +
+         predecessor(row, now);
 }
 
 } // namespace damaskledge::shares
--- a/source/shares/shares.h
+++ b/source/shares/shares.h
@@ -114,10 +114,18 @@
     std::uint32_t waiting = 0;
     time_point waiting_since;
   };
-  struct transfer {
+  /// Thousandths of a token that were given to another data centre. They count until it has
+  /// confirmed that they are in its own sum, or until `ends`, when it no longer accepts them.
+  struct given_lot {
+    std::string data_centre;
     std::uint64_t sequence = 0;
+    std::uint32_t millitokens = 0;
+    time_point ends;
+  };
+  struct transfer {
+    std::string data_centre;
     time_point sent;
-    std::uint32_t wanted = 0;
+    std::uint32_t wanted_millitokens = 0;
   };
   struct account_row {
     limit current;
@@ -131,12 +139,13 @@
     std::unordered_map<holder_key, holder, holder_key_hash> holders;
     /// Holders with a waiting request, in order of arrival.
     std::deque<holder_key> queue;
-    std::deque<lot> given;
-    std::uint64_t given_tokens = 0;
+    std::deque<given_lot> given;
+    std::uint64_t given_millitokens = 0;
     /// Average of tokens wanted per second.
     double use = 0;
     time_point use_at;
-    std::map<std::string, transfer> transfers;
+    /// By sequence number. A donor may have several, because one may be lost.
+    std::map<std::uint64_t, transfer> transfers;
     time_point next_transfer;
     milliseconds transfer_backoff{0};
     /// Highest transfer request seen from each data centre.
@@ -162,8 +171,8 @@
   void advance(account_row& row, time_point now) const;
   static void settle(account_row& row, holder& who, std::uint64_t settled_total);
   std::uint32_t grantable(const account_row& row, const holder& who, std::uint32_t wanted) const;
-  bool may_spend(const std::string& account, const account_row& row, std::uint32_t tokens,
-                 time_point now, std::string_view decision) const;
+  bool may_spend(const std::string& account, const account_row& row, double tokens, time_point now,
+                 std::string_view decision) const;
   void answer(const std::string& account, account_row& row, holder& who, std::uint32_t tokens,
               time_point now, std::vector<wire::outgoing>& out) const;
   void serve(const std::string& account, account_row& row, time_point now,
@@ -176,7 +185,9 @@
               std::vector<wire::outgoing>& out);
   void handle(time_point now, const wire::incoming& from, const wire::transfer_request& request,
               std::vector<wire::outgoing>& out);
-  void handle(time_point now, const wire::transfer_grant& grant, std::vector<wire::outgoing>& out);
+  void handle(time_point now, const wire::incoming& from, const wire::transfer_grant& grant,
+              std::vector<wire::outgoing>& out);
+  void handle(time_point now, const wire::transfer_receipt& receipt);
 };
 
 /// Result of taking a token at a node.
--- a/source/wire/wire.h
+++ b/source/wire/wire.h
@@ -243,15 +243,17 @@
   }
 };
 
-/// A coordinator asks the coordinator of another data centre for spare tokens.
+/// A coordinator asks the coordinator of another data centre for spare tokens. Transfers are
+/// counted in thousandths of a token, because a small burst leaves most of its tokens as parts
+/// of one in each data centre.
 struct transfer_request {
   std::string account;
   std::string data_centre;
   std::uint64_t sequence = 0;
-  std::uint32_t wanted = 0;
+  std::uint32_t wanted_millitokens = 0;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(account, data_centre, sequence, wanted);
+    archive(account, data_centre, sequence, wanted_millitokens);
   }
 };
 
@@ -259,10 +261,22 @@
   std::string account;
   std::string data_centre;
   std::uint64_t sequence = 0;
-  std::uint32_t tokens = 0;
+  std::uint32_t millitokens = 0;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(account, data_centre, sequence, millitokens);
+  }
+};
+
+/// The requester has added the tokens of a transfer to its own. They then no longer count
+/// against the burst of the data centre that gave them.
+struct transfer_receipt {
+  std::string account;
+  std::string data_centre;
+  std::uint64_t sequence = 0;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(account, data_centre, sequence, tokens);
+    archive(account, data_centre, sequence);
   }
 };
 
@@ -376,7 +390,7 @@
                              member_sync_reply, document_rumour, document_pull, document_content,
                              document_confirmation, token_request, token_grant, transfer_request,
                              transfer_grant, claim_request, claim_reply, claim_finish,
-                             claim_finish_reply, contexts_ended, crash_notice>;
+                             claim_finish_reply, contexts_ended, crash_notice, transfer_receipt>;
 
 /// How a message travels: datagrams may be lost, streams arrive in order or fail.
 enum class transport : std::uint8_t { datagram, stream };
--- a/tests/shares/allocator_test.cpp
+++ b/tests/shares/allocator_test.cpp
@@ -120,15 +120,16 @@
     return wire::transfer_request{};
   };
   const auto give = [&](int ms, std::uint64_t number, std::uint32_t tokens) {
+    const std::uint32_t millitokens = tokens * 1'000;
     const double before = under_test.exposure("x", at(ms));
-    under_test.receive(at(ms), from("b", wire::transfer_grant{"x", "b", number, tokens}));
+    under_test.receive(at(ms), from("b", wire::transfer_grant{"x", "b", number, millitokens}));
     return under_test.exposure("x", at(ms)) - before;
   };
   under_test.tick(at(200));
   const wire::transfer_request first = asked(200);
-  REQUIRE(first.wanted > 0);
+  REQUIRE(first.wanted_millitokens > 0);
   CHECK(give(200, first.sequence + 1, 3) == doctest::Approx(0));
-  CHECK(give(200, first.sequence, 100) <= first.wanted);
+  CHECK(give(200, first.sequence, 100) * 1'000 <= first.wanted_millitokens);
   CHECK(give(200, first.sequence, 3) == doctest::Approx(0));
   under_test.set_limits(at(700), {{"x", {0, 20}}});
   under_test.tick(at(1'400));
@@ -137,10 +138,10 @@
     ask(1'400, 1, sequence);
   }
   const wire::transfer_request second = asked(1'500);
-  REQUIRE(second.wanted > 0);
+  REQUIRE(second.wanted_millitokens > 0);
   under_test.tick(at(1'590));
   const double before = under_test.exposure("x", at(1'590));
-  under_test.receive(at(1'600), from("b", wire::transfer_grant{"x", "b", second.sequence, 3}));
+  under_test.receive(at(1'600), from("b", wire::transfer_grant{"x", "b", second.sequence, 3'000}));
   CHECK(under_test.exposure("x", at(1'600)) <= before);
 }
 
@@ -148,16 +149,60 @@
   start(true);
   run_until(1'000);
   const auto out =
-      under_test.receive(at(1'000), from("b", wire::transfer_request{"x", "b", 5, 100}));
+      under_test.receive(at(1'000), from("b", wire::transfer_request{"x", "b", 5, 100'000}));
   REQUIRE(out.size() == 1);
-  CHECK(std::get<wire::transfer_grant>(out[0].body).tokens == 10);
+  CHECK(std::get<wire::transfer_grant>(out[0].body).millitokens == 10'000);
   CHECK(under_test.exposure("x", at(1'000)) == doctest::Approx(20));
   // The donor answers one request once.
-  CHECK(under_test.receive(at(1'001), from("b", wire::transfer_request{"x", "b", 5, 100})).empty());
+  CHECK(under_test.receive(at(1'001), from("b", wire::transfer_request{"x", "b", 5, 100'000}))
+            .empty());
   under_test.tick(at(1'199));
   CHECK(under_test.exposure("x", at(1'199)) <= 20);
 }
 
+TEST_CASE_FIXTURE(fixture, "A receipt ends the transfer that it names, once, and no other") {
+  start(true);
+  run_until(1'000);
+  under_test.receive(at(1'000), from("b", wire::transfer_request{"x", "b", 5, 4'000}));
+  under_test.receive(at(1'000), from("c", wire::transfer_request{"x", "c", 5, 3'000}));
+  const auto receipt = [&](const std::string& data_centre, std::uint64_t number) {
+    under_test.receive(at(1'000), from("b", wire::transfer_receipt{"x", data_centre, number}));
+    return under_test.exposure("x", at(1'000));
+  };
+  CHECK(under_test.exposure("x", at(1'000)) == doctest::Approx(20));
+  CHECK(receipt("b", 6) == doctest::Approx(20));
+  CHECK(receipt("d", 5) == doctest::Approx(20));
+  CHECK(receipt("b", 5) == doctest::Approx(16));
+  CHECK(receipt("b", 5) == doctest::Approx(16));
+  // The freed part accrues anew, and only at the rate.
+  under_test.tick(at(1'010));
+  CHECK(under_test.exposure("x", at(1'010)) == doctest::Approx(17));
+}
+
+TEST_CASE_FIXTURE(fixture, "Parts of a token are transferred, so that a small burst that is spread "
+                           "over data centres can be used") {
+  allocator donor_side(settings{}, "b");
+  const std::map<std::string, limit> small{{"x", {1, 2}}};
+  under_test.set_donors({{"b", {"10.0.0.2", 2}}});
+  for (allocator* it : {&under_test, &donor_side}) {
+    it->set_limits(at(0), small);
+    it->start_term(at(0), held, true);
+    // Nothing accrues before 200 ms, so both have 0.6 tokens then.
+    for (int ms = 200; ms <= 800; ms += 10) {
+      it->tick(at(ms));
+    }
+  }
+  const auto asked = ask(800, 1);
+  CHECK(granted(asked) == -1);
+  REQUIRE(asked.size() == 1);
+  const auto answered = donor_side.receive(at(801), from("a", asked[0].body));
+  REQUIRE(answered.size() == 1);
+  const auto out = under_test.receive(at(802), from("b", answered[0].body));
+  CHECK(granted(out) == 1);
+  CHECK(std::holds_alternative<wire::transfer_receipt>(out.at(0).body));
+  CHECK(under_test.exposure("x", at(802)) + donor_side.exposure("x", at(801)) <= 2 * 1.2 + 1e-6);
+}
+
 TEST_CASE("A node's tokens live from the sending of the request, under the highest term only") {
   node_buckets under_test(settings{}, 5);
   under_test.set_accounts({{"x", whole}});
