--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -31,8 +31,10 @@
 export GLOG_minloglevel=1
 pids=()
 stop_all() {
+  status=$?
   for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
   for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
+  if [ "$status" -eq 0 ]; then rm -rf "$work"; else echo "logs are in $work" >&2; fi
 }
 trap stop_all EXIT
 start() { # log file, program, arguments
@@ -118,7 +120,8 @@
 done
 wait $(jobs -p | tail -3)
 sleep 0.5
-echo "executions: $(cat "$work"/*-"$once_service".executions | grep -c "${once_body:2:6}\|$once_target\|confirm\|new" || true)"
+executed=$(cat "$work"/*-"$once_service".executions | grep -cE 'demo-operation-1|D-2041' || true)
+echo "executions of the operation: $executed"
 
 echo "== load: usual, a surge, one account far above its rate"
 callers=$(printf '%s:8080,' "${nodes[@]}")
