--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -10,7 +10,18 @@
 for it in "${files[@]}"; do [[ $it == *.cpp && -e $it ]] && sources+=("$it"); done
 # The compile database names ccache as launcher, which clang-tidy does not understand.
 mkdir -p build/lint
-sed 's#[^" ]*ccache ##' build/compile_commands.json >build/lint/compile_commands.json
+# The fuzz targets are built, and their commands written, in a folder of their own.
+python3 - <<'PY'
+import json, os, re
+entries = []
+for path in ("build/compile_commands.json", "build-fuzz/compile_commands.json"):
+    if os.path.exists(path):
+        known = {it["file"] for it in entries}
+        entries += [it for it in json.load(open(path)) if it["file"] not in known]
+for it in entries:
+    it["command"] = re.sub(r'[^" ]*ccache ', "", it["command"])
+json.dump(entries, open("build/lint/compile_commands.json", "w"), indent=0)
+PY
 printf '%s\n' "${sources[@]}" |
   xargs -P "${DAMASKLEDGE_JOBS:-$(nproc)}" -n 2 scripts/lint_cached.sh
 echo "lint: ${#files[@]} files clean"
