Reach hoarded tokens and patched contents in the fuzz targets

Cause: trials with a fault put into the library on a scratch copy. Five faults: a key left in the target, a '..' segment accepted and a claim granted in spite of a finished one were found; a patch whose hash is not checked and tokens kept past their expiry were not.

Change: document_contents starts without peers in half of the inputs and picks short JSON contents; token_shares can spend all tokens of a node and lets a node keep tokens for later.

--- a/tests/fuzz/document_contents.cpp
+++ b/tests/fuzz/document_contents.cpp
@@ -44,7 +44,10 @@
 
 void receive_messages(FuzzedDataProvider& in) {
   documents::document_table table = make_table(1);
-  table.set_peers({{"vm-2", "dc-1", second_address}});
+  // Without peers, the first content is in force at once.
+  if (in.ConsumeBool()) {
+    table.set_peers({{"vm-2", "dc-1", second_address}});
+  }
   checker each;
   time_point now = time_point{} + seconds{1'000};
   while (in.remaining_bytes() > 0) {
@@ -56,7 +59,10 @@
       content.name = "lists";
       content.version = in.ConsumeIntegralInRange<std::uint64_t>(0, 20);
       content.base = in.ConsumeIntegralInRange<std::uint64_t>(0, 20);
-      content.content = in.ConsumeRandomLengthString(200);
+      content.content = in.ConsumeBool()
+                            ? in.PickValueInArray({R"({"a":1,"b":{"c":2}})", R"({"a":null})",
+                                                   R"({"b":{"c":[]}})", "{}", "[1]", "text"})
+                            : in.ConsumeRandomLengthString(200);
       content.hash = hash_parts({content.content});
       content.confirmed_age_ms = in.ConsumeIntegral<std::uint64_t>();
       if (const auto value = table.in_force("lists"); value && in.ConsumeBool()) {
--- a/tests/fuzz/token_shares.cpp
+++ b/tests/fuzz/token_shares.cpp
@@ -187,7 +187,7 @@
                             static_cast<double>(in.ConsumeIntegralInRange(1, 500))};
   world fleet(whole, in.ConsumeIntegralInRange<std::uint64_t>(0, 100));
   for (std::size_t it = 0; it < most_operations && in.remaining_bytes() > 0; ++it) {
-    const std::size_t operation = in.ConsumeIntegralInRange<std::size_t>(0, 11);
+    const std::size_t operation = in.ConsumeIntegralInRange<std::size_t>(0, 12);
     const std::size_t which = in.ConsumeIntegral<std::uint8_t>();
     const std::size_t node = which % (data_centres * nodes_per_data_centre);
     switch (operation) {
@@ -201,7 +201,8 @@
       fleet.tick();
       break;
     case 3:
-      fleet.take(node, 1 + which / 8);
+      // Up to more than the largest burst, so that a node asks for all and spends all it holds.
+      fleet.take(node, 1 + 2 * which);
       break;
     case 4:
       fleet.tick_node(node);
@@ -224,6 +225,13 @@
     case 10:
       fleet.tell(node);
       break;
+    case 11:
+      // A node asks for tokens and gets them, but leaves them for later.
+      fleet.take(node, 1 + 2 * which);
+      fleet.tick_node(node);
+      fleet.deliver_all();
+      fleet.deliver_all();
+      break;
     default:
       // The usual course: callers take, nodes and allocators tick, messages arrive.
       for (int round = 0; round < 4; ++round) {
