--- a/source/core/core.cpp
+++ b/source/core/core.cpp
@@ -130,6 +130,11 @@
   membership::carried_facts carried;
   carried.highest = documents_.highest_heard();
   carried.coordinators = election_.known();
+  for (auto& it : carried.coordinators) {
+    it.lists_confirmed = it.data_centre == settings_.data_centre && allocating_
+                             ? lowest_lists_version()
+                             : lists_confirmed_[it.data_centre];
+  }
   carried.shed_levels = facts.shed_levels;
   carried.crash_fingerprints = facts.crash_fingerprints;
   members_.set_carried_facts(std::move(carried));
@@ -288,6 +293,8 @@
   }
   for (const auto& it : facts.coordinators) {
     election_.heard(now, it, from.sender);
+    std::uint64_t& confirmed = lists_confirmed_[it.data_centre];
+    confirmed = std::max(confirmed, it.lists_confirmed);
   }
   out.shed_levels.insert(out.shed_levels.end(), facts.shed_levels.begin(), facts.shed_levels.end());
   out.crash_fingerprints.insert(out.crash_fingerprints.end(), facts.crash_fingerprints.begin(),
--- a/source/core/core.h
+++ b/source/core/core.h
@@ -161,6 +161,8 @@
   void publish_services(time_point now, effects& out);
   double weight_in_force(const config::lists& lists, std::uint64_t version);
   bool confirmed_everywhere(const config::lists& lists, std::uint64_t version) const;
+  /// @return the lowest version of the lists at the alive nodes of this data centre.
+  std::uint64_t lowest_lists_version() const;
   void write_if_changed(time_point now, unix_milliseconds wall, call_owner owner,
                         written_object& object, std::string content, effects& out);
   static void finish_write(written_object& object, const platform::answer& result);
@@ -183,6 +185,8 @@
   std::uint64_t seen_members_ = 0;
   std::uint64_t seen_documents_ = 0;
   std::vector<weight_hold> holds_;
+  /// Version of the lists that all nodes of a data centre have, as its coordinator told.
+  std::map<std::string, std::uint64_t> lists_confirmed_;
   std::optional<double> last_weight_;
   std::shared_ptr<const rules_in_force> rules_;
   time_point keys_confirmed_at_{};
--- a/source/core/limits.cpp
+++ b/source/core/limits.cpp
@@ -67,25 +67,31 @@
   refresh_limits(now);
 }
 
-bool control_core::confirmed_everywhere(const config::lists& lists, std::uint64_t version) const {
-  const auto members = members_.members();
-  const auto confirmed = [&](const config::data_centre_weight& dc) {
-    // Weight 0 is the operators' statement that the data centre is gone.
-    if (dc.weight <= 0 || dc.name == settings_.data_centre) {
-      return true;
-    }
-    bool any = false;
-    for (const auto& it : members) {
-      const bool counted = it.data_centre == dc.name && it.state != wire::member_state::left &&
-                           it.state != wire::member_state::dead;
-      if (counted && lists_version_of(it) < version) {
-        return false;
-      }
-      any = any || counted;
+std::uint64_t control_core::lowest_lists_version() const {
+  const std::string name(config::lists_document);
+  const auto reported = documents_.reported_versions(name);
+  const auto* own = documents_.find_in_force(name);
+  std::uint64_t result = own == nullptr ? 0 : own->version;
+  for (const auto& it : members_.alive(settings_.data_centre)) {
+    if (it.name != settings_.name) {
+      const auto report = reported.find(it.name);
+      result = std::min(
+          result, std::max(report == reported.end() ? 0 : report->second, lists_version_of(it)));
     }
-    return any;
-  };
-  return std::all_of(lists.data_centres.begin(), lists.data_centres.end(), confirmed);
+  }
+  return result;
+}
+
+bool control_core::confirmed_everywhere(const config::lists& lists, std::uint64_t version) const {
+  // Weights matter at the allocators only. Any node of a data centre may become its coordinator,
+  // so all of them must have the version. Weight 0 is the operators' statement that the data
+  // centre is gone.
+  return std::all_of(lists.data_centres.begin(), lists.data_centres.end(),
+                     [&](const config::data_centre_weight& dc) {
+                       const auto confirmed = lists_confirmed_.find(dc.name);
+                       return dc.weight <= 0 || dc.name == settings_.data_centre ||
+                              (confirmed != lists_confirmed_.end() && confirmed->second >= version);
+                     });
 }
 
 double control_core::weight_in_force(const config::lists& lists, std::uint64_t version) {
--- a/source/wire/wire.h
+++ b/source/wire/wire.h
@@ -81,11 +81,13 @@
   std::string holder;
   endpoint address;
   term held;
+  /// Lowest version of the lists in force at an alive node of the data centre, as far as known.
+  std::uint64_t lists_confirmed = 0;
 
   bool operator==(const coordinator_record&) const = default;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(data_centre, holder, address, held);
+    archive(data_centre, holder, address, held, lists_confirmed);
   }
 };
 
