Receive from peers only after the transport has its owner

The constructor of the transport started its threads; a message that came before the control plane had stored the pointer was answered through a null pointer.

--- a/source/node/control_plane.cpp
+++ b/source/node/control_plane.cpp
@@ -90,6 +90,7 @@
   const endpoint self{settings_.address, settings_.peer_port};
   transport_ = std::make_unique<transport>(settings_.name, self, secrets_of(settings_), cuts_,
                                            [this](const auto& from) { receive(from); });
+  transport_->start();
   threads_.emplace_back([this] { run_ticker(); });
   for (const std::string_view it : {config::lists_document, config::keys_document}) {
     threads_.emplace_back([this, it] { run_document(std::string(it)); });
--- a/source/node/transport.cpp
+++ b/source/node/transport.cpp
@@ -252,6 +252,9 @@
   params->setMaxThreads(max_peer_connections);
   listener_ = std::make_unique<Poco::Net::TCPServer>(new frame_connection_factory(*this),
                                                      peer_threads(), socket, params);
+}
+
+void transport::start() {
   listener_->start();
   datagram_thread_ = std::thread([this] { receive_datagrams(); });
 }
@@ -265,7 +268,9 @@
     return;
   }
   listener_->stop();
-  datagram_thread_.join();
+  if (datagram_thread_.joinable()) {
+    datagram_thread_.join();
+  }
   senders_.clear();
   while (listener_->currentConnections() > 0) {
     std::this_thread::sleep_for(milliseconds(20));
--- a/source/node/transport.h
+++ b/source/node/transport.h
@@ -39,7 +39,8 @@
  public:
   using receiver = std::function<void(const wire::incoming&)>;
 
-  /// Binds the UDP socket and the TCP listener at `self`.
+  /// Binds the UDP socket and the TCP listener at `self`. Nothing is received before `start`, so
+  /// that the receiver may use this object.
   /// @param secrets cluster secrets; the first one signs.
   /// @throws Poco::Net::NetException when a port can't be bound.
   transport(std::string name, endpoint self, std::vector<std::string> secrets,
@@ -48,6 +49,8 @@
   transport(const transport&) = delete;
   transport& operator=(const transport&) = delete;
 
+  /// Starts to receive; called once.
+  void start();
   /// Sends without blocking on the network. Stream messages to one peer keep their order or
   /// are lost together with the connection.
   void send(const wire::outgoing& what);
