Add runs to present ones, and discard phases with another fleet's lists

In the first run of chosen another fleet used the same addresses: its lists came into force at the end of the phase combined, and the next run could not start.

--- a/scripts/measure.py
+++ b/scripts/measure.py
@@ -99,6 +99,10 @@
 }
 SLOWDOWN = 4
 
+# No request of the load is refused for these reasons, unless another fleet on the same addresses
+# has written its own lists to the platform stand-in.
+FOREIGN_REASONS = {"account-unknown", "route-unknown", "key-unknown", "route-not-in-plan"}
+
 
 def read_json(path):
     """Reads JSON with // and /* */ comments."""
@@ -248,6 +252,8 @@
 
     def start(self):
         """Starts all processes and waits until each node knows all others."""
+        if http_json(self.platform, target="/control") is not None:
+            raise RuntimeError(f"{self.platform} is in use by another fleet; give another --subnet")
         self.spawn("platform.log", "platform_stand_in", f"--listen={self.platform}")
         self.wait_until(lambda: http_json(self.platform, target="/control") is not None, 20,
                         "answer of the platform stand-in")
@@ -567,6 +573,13 @@
             print(f"the logs of the failed run are in {folder}", file=sys.stderr)
 
 
+def mark_discarded(phase):
+    """Discards a phase in which the fleet did not have the lists of this run."""
+    foreign = sorted(FOREIGN_REASONS & set(phase["refusals"]))
+    if foreign:
+        phase["discarded"] = f"another fleet's lists were in force ({', '.join(foreign)})"
+
+
 def summarise_run(deployment, scenario, report, executions):
     plan = DEPLOYMENTS[deployment]
     routes = routes_of(deployment)
@@ -612,6 +625,7 @@
             "results": it["results"],
             "refusals": it["refusals"],
         }
+        mark_discarded(phases[name])
     return {
         "phases": phases,
         "phase_times": [[it["name"], it["start_s"], it["duration_s"]]
@@ -639,7 +653,9 @@
             continue
         result[policy] = {}
         for phase in mine[0]["phases"]:
-            rows = [it["phases"][phase] for it in mine]
+            rows = [it["phases"][phase] for it in mine if "discarded" not in it["phases"][phase]]
+            if not rows:
+                continue
             summary = {}
             for name in SUMMARISED:
                 values = [it[name] for it in rows]
@@ -705,7 +721,7 @@
     ]
     policies = list(summary)
     for phase in summary[policies[0]]:
-        for policy in policies:
+        for policy in (name for name in policies if phase in summary[name]):
             it = summary[policy][phase]
             lines.append("| " + " | ".join([
                 phase, policy,
@@ -720,6 +736,11 @@
                 spread(it, "attempts_per_request", lambda v: f"{v:.2f}"),
                 spread(it, "wasted_work", percent),
             ]) + " |")
+    discarded = [f"Discarded: phase {name} of run {run['repeat']} of `{run['policy']}`, because "
+                 f"{it['discarded']}."
+                 for run in runs for name, it in run["phases"].items() if "discarded" in it]
+    if discarded:
+        lines += ["", *discarded]
     if "chosen" in summary:
         lines += ["", *target_table(summary["chosen"], runs)]
     lines += ["", f"![goodput over time](measurements/{deployment}-goodput.svg)", "",
@@ -778,15 +799,25 @@
     return next(it * unit for it in (1, 1.5, 2, 3, 4, 5, 6, 8, 10) if value <= it * unit)
 
 
+def known_goodput(run):
+    """Returns the answers of each step, with None from the first discarded phase on."""
+    step_s = run["timeline"]["step_ms"] / 1000
+    ends = [start for name, start, _ in run["phase_times"] if "discarded" in run["phases"][name]]
+    good = run["timeline"]["good"]
+    end = round(min(ends) / step_s) if ends else len(good)
+    return good[:end] + [None] * (len(good) - end)
+
+
 def goodput_plot(deployment, runs):
     """Goodput of each policy over time: medians over the repeats, one point for each step."""
     series = {}
     for policy in POLICIES:
-        mine = [it["timeline"] for it in runs if it["policy"] == policy]
+        mine = [it for it in runs if it["policy"] == policy]
         if mine:
-            per_second = 1000 / mine[0]["step_ms"]
-            series[policy] = [per_second * statistics.median(it) for it in
-                              zip(*(run["good"] for run in mine))]
+            per_second = 1000 / mine[0]["timeline"]["step_ms"]
+            steps = zip(*(known_goodput(it) for it in mine))
+            known = [[value for value in step if value is not None] for step in steps]
+            series[policy] = [per_second * statistics.median(it) for it in known if it]
     step_s = runs[0]["timeline"]["step_ms"] / 1000
     end_s = step_s * len(runs[0]["timeline"]["good"])
     top = round_up(max(max(it) for it in series.values()))
@@ -827,6 +858,8 @@
     for policy in summary:
         rows = []
         for run in (it for it in runs if it["policy"] == policy):
+            if any("discarded" in it for it in run["phases"].values()):
+                continue
             phases = [it for it in run["phases"].values() if not it["base"]] or list(
                 run["phases"].values())
             unseen = any(not it["base"] and it["recovery_s"] is None for it in phases)
@@ -838,6 +871,8 @@
                 min(it["worst_served"] for it in phases),
                 sum(it["refused_per_thousand"] * it["in_rate_per_second"] for it in phases)
                 / in_rate))
+        if not rows:
+            continue
         for panel, values in zip(panels.values(), zip(*rows)):
             panel[policy] = statistics.median(values)
     width, height, base, upper = 1000, 300, 250, 60
@@ -930,13 +965,24 @@
         "capacity_per_second": capacities(DEPLOYMENTS[options.deployment], "base"),
     }
     runs = []
-    for repeat in range(1, options.repeats + 1):
+    first = 1
+    if options.append:
+        before = json.loads((options.output / "measurements" / f"{options.deployment}.json")
+                            .read_text(encoding="utf-8"))
+        runs = before["runs"]
+        if {tuple(it["phases"]) for it in runs} != {tuple(phases)}:
+            sys.exit("--append: the present runs have other phases")
+        first = 1 + max(it["repeat"] for it in runs)
+        setup["started"] = before["setup"]["started"]
+        setup["load_average"] = f"{before['setup']['load_average']}; {setup['load_average']}"
+        setup["command"] = f"{before['setup']['command']}, {setup['command']}"
+    for repeat in range(first, first + options.repeats):
         for policy in policies:
             begin = time.monotonic()
             run = run_once(options.deployment, policy, repeat, phases, options.seed + repeat)
             runs.append(run)
             write_results(options.output, options.deployment, setup, runs)
-            print(f"{options.deployment} {policy} {repeat}/{options.repeats}: "
+            print(f"{options.deployment} {policy} run {repeat}: "
                   f"{time.monotonic() - begin:.0f} s, late sends {run['late_sends']} "
                   f"of {run['attempts']}", flush=True)
             for name, it in run["phases"].items():
@@ -1002,11 +1048,17 @@
     parser.add_argument("--phases", default="",
                         help="some of " + ",".join(PHASES) + "; base is always run")
     parser.add_argument("--seed", type=int, default=100, help="seeds count up from here")
+    parser.add_argument("--subnet", type=int, default=0,
+                        help="second byte of the addresses 127.*.*.*; 0 for the deployment's own")
+    parser.add_argument("--append", action="store_true",
+                        help="add the runs to those of the present JSON file")
     parser.add_argument("--output", type=pathlib.Path, default=ROOT / "docs",
                         help="folder for measurements.md and measurements/")
     parser.add_argument("--idle", type=float, default=0, metavar="SECONDS",
                         help="measure an idle fleet for this time instead")
     options = parser.parse_args()
+    if options.subnet:
+        DEPLOYMENTS[options.deployment]["subnet"] = options.subnet
     # SIGTERM unwinds like an interrupt, so that the processes of the run are ended.
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(143))
     if options.idle > 0:
