Release a claim at every writer that was asked when a request gives up

A writer that answers 'unavailable' may have recorded the claim after all; at the end of the randomised runs some rows stayed claimed without a grant, and their operations could not run.

--- a/source/node/control_claims.cpp
+++ b/source/node/control_claims.cpp
@@ -21,7 +21,7 @@
     const std::lock_guard lock(core_mutex_);
     writers = core_.claim_writers(operation);
   }
-  std::vector<endpoint> unanswered;
+  std::vector<endpoint> asked;
   claims::claim_result result;
   for (const endpoint& writer : writers) {
     const time_point now = clock_type::now();
@@ -40,8 +40,8 @@
     lock.lock();
     pending->wake.wait_until(lock, give_up, [&] { return pending->reply.has_value(); });
     pending_claims_.erase(sequence);
+    asked.push_back(writer);
     if (!pending->reply) {
-      unanswered.push_back(writer);
       continue;
     }
     const wire::claim_reply& reply = *pending->reply;
@@ -52,9 +52,10 @@
     }
   }
   if (result.decision != wire::claim_decision::granted) {
-    // A writer whose answer was not waited for may still record the claim; the request will
-    // not run, so the record must go or a later submission would be refused.
-    for (const endpoint& writer : unanswered) {
+    // A writer that did not answer, or could not tell the fate of its write, may still record the
+    // claim. The request will not run, so the record must go or a later submission would be
+    // refused. A release removes only the claim of this request.
+    for (const endpoint& writer : asked) {
       wire::claim_finish release;
       release.operation = operation;
       release.request = request;
