--- /dev/null
+++ b/source/event/event.h
@@ -0,0 +1,185 @@
+/// @file
+/// Single-threaded event loop over epoll: timers, non-blocking TCP streams and listeners.
+///
+/// Poco's PollSet copies a map of sockets on each poll; processor time is a limited resource of the
+/// node, so the loop uses epoll itself.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+#include "common/common.h"
+
+namespace damaskledge::event {
+
+/// Receives readiness of one file descriptor.
+class io_handler {
+ public:
+  io_handler() = default;
+  io_handler(const io_handler&) = delete;
+  io_handler& operator=(const io_handler&) = delete;
+  virtual ~io_handler() = default;
+  virtual void on_io(std::uint32_t events) = 0;
+};
+
+using timer_id = std::uint64_t;
+
+/// Runs handlers and timers on the calling thread until stopped.
+class loop {
+ public:
+  loop();
+  ~loop();
+  loop(const loop&) = delete;
+  loop& operator=(const loop&) = delete;
+
+  /// @return the time at which the current round of events began.
+  time_point now() const { return now_; }
+  /// Reads the clock anew.
+  time_point refresh_now();
+
+  /// Calls `task` once after `delay`.
+  timer_id after(duration delay, std::function<void()> task);
+  void cancel(timer_id id);
+  /// Calls `task` after the handlers of this round, so that an object may be destroyed safely.
+  void defer(std::function<void()> task);
+
+  void watch(int fd, std::uint32_t events, io_handler& handler);
+  void change(int fd, std::uint32_t events, io_handler& handler);
+  void forget(int fd, io_handler& handler);
+
+  /// Runs until `stop`.
+  void run();
+  /// Handles what is ready, waiting at most `limit`.
+  void run_once(duration limit);
+  void stop() { stopped_ = true; }
+
+ private:
+  struct timer {
+    time_point at;
+    timer_id id = 0;
+    bool operator>(const timer& other) const {
+      return at != other.at ? at > other.at : id > other.id;
+    }
+  };
+
+  void run_timers();
+  void run_deferred();
+
+  int epoll_ = -1;
+  bool stopped_ = false;
+  time_point now_;
+  timer_id next_timer_ = 1;
+  std::priority_queue<timer, std::vector<timer>, std::greater<>> timers_;
+  std::unordered_map<timer_id, std::function<void()>> tasks_;
+  std::vector<std::function<void()>> deferred_;
+  /// Handlers forgotten during the current round; their pending events are dropped.
+  std::unordered_set<io_handler*> forgotten_;
+};
+
+/// Why a stream ended.
+enum class close_reason : std::uint8_t { end_of_stream, reset, connect_failed, local };
+
+struct stream_options {
+  /// Unacknowledged data or keep-alive probes for this long end the connection.
+  milliseconds silence_timeout{2'000};
+  /// Reading pauses while this many bytes are unread.
+  std::size_t read_limit = 256U * 1024U;
+};
+
+/// Callbacks of a stream. The owner may destroy the stream only through `loop::defer`.
+struct stream_events {
+  std::function<void()> on_connected;
+  /// New bytes are in `input()`.
+  std::function<void()> on_data;
+  std::function<void(close_reason)> on_closed;
+};
+
+/// One non-blocking TCP connection.
+class stream : public io_handler {
+ public:
+  /// Takes over an accepted socket.
+  stream(loop& events, int fd, const stream_options& options);
+  /// Starts to connect; the result comes by `on_connected` or `on_closed`.
+  stream(loop& events, const endpoint& to, const stream_options& options);
+  ~stream() override;
+
+  void handle(stream_events callbacks) { callbacks_ = std::move(callbacks); }
+
+  std::string& input() { return input_; }
+  /// Queues bytes and sends what the socket takes now.
+  void send(std::string_view bytes);
+  /// @return bytes queued and not yet taken by the socket.
+  std::size_t unsent() const { return output_.size() - output_offset_; }
+  /// @return bytes that the socket has taken since the start.
+  std::uint64_t sent() const { return sent_; }
+  bool connected() const { return connected_; }
+  bool closed() const { return fd_ < 0; }
+  /// The peer has closed its direction.
+  bool peer_ended() const { return peer_ended_; }
+  /// Closes without a callback. What is queued is lost.
+  /// @param abort sends a reset, so that bytes still under way are discarded.
+  void close(bool abort = false);
+  /// Closes after the queued bytes were sent. Further input is read and dropped until the peer
+  /// closes, since closing with unread bytes would reset the connection and lose the answer.
+  void close_after_send(duration linger);
+  bool closing() const { return closing_; }
+
+  void on_io(std::uint32_t events) override;
+
+ private:
+  void set_options();
+  void finish_connect();
+  void read_available();
+  void write_available();
+  void update_interest();
+  void fail(close_reason reason);
+
+  loop& loop_;
+  stream_options options_;
+  stream_events callbacks_;
+  int fd_ = -1;
+  bool connected_ = false;
+  bool peer_ended_ = false;
+  bool closing_ = false;
+  bool write_shut_ = false;
+  std::uint32_t interest_ = 0;
+  std::string input_;
+  std::string output_;
+  std::size_t output_offset_ = 0;
+  std::uint64_t sent_ = 0;
+  timer_id linger_timer_ = 0;
+  timer_id failure_timer_ = 0;
+};
+
+/// Accepts connections at one address.
+class listener : public io_handler {
+ public:
+  /// @param accept receives each accepted socket.
+  static leaf::result<std::unique_ptr<listener>> open(loop& events, const endpoint& at,
+                                                      std::function<void(int)> accept);
+  ~listener() override;
+  void on_io(std::uint32_t events) override;
+  /// @return the bound port.
+  std::uint16_t port() const { return port_; }
+
+ private:
+  listener(loop& events, int fd, std::uint16_t port, std::function<void(int)> accept);
+
+  loop& loop_;
+  int fd_;
+  std::uint16_t port_;
+  std::function<void(int)> accept_;
+};
+
+/// @return the endpoint of "address:port", or nothing.
+std::optional<endpoint> parse_endpoint(std::string_view text);
+
+} // namespace damaskledge::event
--- /dev/null
+++ b/source/fleet/frames.cpp
@@ -0,0 +1,54 @@
+#include <sstream>
+
+#include "fleet/fleet.h"
+#include "wire/bounded_archive.h"
+
+namespace damaskledge::fleet {
+
+std::string encode(const frame& value) {
+  std::ostringstream out;
+  {
+    cereal::PortableBinaryOutputArchive archive(out);
+    archive(value);
+  }
+  const std::string payload = std::move(out).str();
+  std::string result;
+  result.reserve(frame_header_bytes + payload.size());
+  const auto n = static_cast<std::uint32_t>(payload.size());
+  for (int shift = 24; shift >= 0; shift -= 8) {
+    result += static_cast<char>((n >> static_cast<unsigned>(shift)) & 0xFFU);
+  }
+  result += payload;
+  return result;
+}
+
+decoded decode(std::string& input) {
+  decoded result;
+  if (input.size() < frame_header_bytes) {
+    return result;
+  }
+  std::size_t n = 0;
+  for (std::size_t i = 0; i < frame_header_bytes; ++i) {
+    n = (n << 8U) | static_cast<unsigned char>(input[i]);
+  }
+  if (n > max_frame_bytes) {
+    result.malformed = true;
+    return result;
+  }
+  if (input.size() < frame_header_bytes + n) {
+    return result;
+  }
+  try {
+    Poco::MemoryInputStream in(input.data() + frame_header_bytes, static_cast<std::streamsize>(n));
+    cereal::bounded_input_archive archive(in);
+    frame value;
+    archive(value);
+    result.value = std::move(value);
+  } catch (const std::exception&) {
+    result.malformed = true;
+  }
+  input.erase(0, frame_header_bytes + n);
+  return result;
+}
+
+} // namespace damaskledge::fleet
--- /dev/null
+++ b/source/fleet/network.cpp
@@ -0,0 +1,304 @@
+#include <algorithm>
+#include <limits>
+
+#include "fleet/fleet.h"
+
+namespace damaskledge::fleet {
+
+namespace {
+
+std::int64_t microseconds_of(time_point value) {
+  return std::chrono::duration_cast<std::chrono::microseconds>(value.time_since_epoch()).count();
+}
+
+} // namespace
+
+/// This node's connection to another one.
+struct network::outbound_link {
+  std::unique_ptr<event::stream> connection;
+  std::unordered_map<std::uint64_t, completion> waiting;
+  event::timer_id reconnect = 0;
+};
+
+/// Another node's connection to this one.
+struct network::inbound_link {
+  std::uint64_t id = 0;
+  std::unique_ptr<event::stream> connection;
+  /// Smallest difference seen between arrival and sending; a larger one is delay on the link.
+  std::int64_t least_offset_us = std::numeric_limits<std::int64_t>::max();
+};
+
+network::network(event::loop& events, network_options options, network_events callbacks)
+    : loop_(events), options_(std::move(options)), callbacks_(std::move(callbacks)) {}
+
+network::~network() = default;
+
+leaf::result<void> network::listen() {
+  BOOST_LEAF_ASSIGN(listener_, event::listener::open(loop_, options_.address,
+                                                     [this](int fd) { accept(fd); }));
+  return {};
+}
+
+void network::add_node(const std::string& name, const std::string& data_centre,
+                       const endpoint& address) {
+  if (name == options_.node || address == options_.address) {
+    return;
+  }
+  auto [found, added] = nodes_.try_emplace(name);
+  node_entry& node = found->second;
+  if (!added && node.address == address) {
+    return;
+  }
+  node.name = name;
+  node.data_centre = data_centre;
+  node.address = address;
+  if (!added) {
+    link_lost(name, "the address changed");
+  }
+  connect(name);
+}
+
+void network::remove_node(const std::string& name) {
+  if (nodes_.count(name) == 0) {
+    return;
+  }
+  link_lost(name, "the node was removed");
+  if (const auto link = outbound_.find(name); link != outbound_.end()) {
+    loop_.cancel(link->second->reconnect);
+    outbound_.erase(link);
+  }
+  nodes_.erase(name);
+}
+
+void network::connect(const std::string& name) {
+  auto& link = outbound_[name];
+  if (!link) {
+    link = std::make_unique<outbound_link>();
+  }
+  loop_.cancel(link->reconnect);
+  link->reconnect = 0;
+  event::stream_options options;
+  options.silence_timeout = options_.link_timeout;
+  options.read_limit = max_frame_bytes;
+  link->connection =
+      std::make_unique<event::stream>(loop_, nodes_.at(name).address, options);
+  link->connection->handle({
+      .on_connected =
+          [this, name] {
+            nodes_.at(name).connected = true;
+            callbacks_.on_link(nodes_.at(name), true);
+          },
+      .on_data = [this, name] { on_outbound_data(name); },
+      .on_closed = [this, name](event::close_reason) { link_lost(name, "the connection ended"); },
+  });
+  // A connection attempt to a VM that is off hangs; it is given up like an idle link.
+  link->reconnect = loop_.after(options_.link_timeout, [this, name] {
+    if (!nodes_.at(name).connected) {
+      link_lost(name, "no connection in time");
+    }
+  });
+}
+
+void network::link_lost(const std::string& name, const std::string& why) {
+  node_entry& node = nodes_.at(name);
+  outbound_link& link = *outbound_.at(name);
+  if (link.connection) {
+    // The reset discards what is still under way, so that no call arrives after it was given up.
+    link.connection->close(true);
+    loop_.defer([old = std::shared_ptr<event::stream>(std::move(link.connection))] {});
+  }
+  loop_.cancel(link.reconnect);
+  link.reconnect = loop_.after(options_.reconnect_pause, [this, name] { connect(name); });
+  const bool was_connected = node.connected;
+  node.connected = false;
+  node.outstanding = 0;
+  auto waiting = std::move(link.waiting);
+  link.waiting.clear();
+  if (was_connected) {
+    callbacks_.on_link(node, false);
+  }
+  for (auto& [id, done] : waiting) {
+    answer_frame lost;
+    lost.id = id;
+    lost.result = static_cast<std::uint8_t>(call_result::unknown);
+    lost.reason = "link lost: " + why;
+    lost.reached_target = true;
+    done(std::move(lost));
+  }
+}
+
+void network::on_outbound_data(const std::string& name) {
+  outbound_link& link = *outbound_.at(name);
+  event::stream* connection = link.connection.get();
+  while (connection != nullptr && !connection->closed()) {
+    auto next = decode(connection->input());
+    if (next.malformed) {
+      link_lost(name, "a malformed frame");
+      return;
+    }
+    if (!next.value) {
+      return;
+    }
+    if (auto* answer = std::get_if<answer_frame>(&*next.value)) {
+      const auto found = link.waiting.find(answer->id);
+      if (found != link.waiting.end()) {
+        auto done = std::move(found->second);
+        link.waiting.erase(found);
+        node_entry& node = nodes_.at(name);
+        node.outstanding -= std::min<std::uint32_t>(node.outstanding, 1);
+        node.status.target.in_flight = answer->in_flight;
+        node.status.target.queued = answer->queued;
+        node.sent_since_report = 0;
+        done(std::move(*answer));
+      }
+    } else if (const auto* configuration = std::get_if<configuration_frame>(&*next.value)) {
+      callbacks_.on_configuration(*configuration);
+    }
+    connection = link.connection.get();
+  }
+}
+
+std::optional<std::uint64_t> network::call(const std::string& node, call_frame value,
+                                           completion done) {
+  const auto entry = nodes_.find(node);
+  if (entry == nodes_.end() || !entry->second.connected) {
+    return std::nullopt;
+  }
+  outbound_link& link = *outbound_.at(node);
+  value.id = next_call_++;
+  value.sent_us = microseconds_of(loop_.now());
+  link.waiting.emplace(value.id, std::move(done));
+  ++entry->second.outstanding;
+  ++entry->second.sent_since_report;
+  const std::uint64_t id = value.id;
+  link.connection->send(encode(std::move(value)));
+  return id;
+}
+
+void network::cancel(const std::string& node, std::uint64_t id) {
+  const auto entry = nodes_.find(node);
+  if (entry == nodes_.end()) {
+    return;
+  }
+  outbound_link& link = *outbound_.at(node);
+  if (link.waiting.erase(id) != 0) {
+    entry->second.outstanding -= std::min<std::uint32_t>(entry->second.outstanding, 1);
+    if (link.connection) {
+      link.connection->send(encode(cancel_frame{id}));
+    }
+  }
+}
+
+void network::answer(std::uint64_t connection, const answer_frame& value) {
+  const auto found = inbound_.find(connection);
+  if (found != inbound_.end()) {
+    found->second->connection->send(encode(value));
+  }
+}
+
+void network::broadcast(const status_frame& status) {
+  const std::string bytes = encode(status);
+  for (auto& [name, link] : outbound_) {
+    if (link->connection && link->connection->connected()) {
+      link->connection->send(bytes);
+    }
+  }
+}
+
+void network::request_configuration(const std::string& node, std::uint64_t known) {
+  const auto found = outbound_.find(node);
+  if (found != outbound_.end() && found->second->connection &&
+      found->second->connection->connected()) {
+    found->second->connection->send(encode(configuration_request{known}));
+  }
+}
+
+bool network::reachable(const node_entry& node) const {
+  return node.connected && !node.status.node.empty() &&
+         loop_.now() - node.heard < options_.silence_limit && loop_.now() >= node.avoid_until;
+}
+
+void network::accept(int fd) {
+  auto link = std::make_unique<inbound_link>();
+  const std::uint64_t id = next_connection_++;
+  event::stream_options options;
+  options.silence_timeout = options_.link_timeout;
+  options.read_limit = max_frame_bytes;
+  link->id = id;
+  link->connection = std::make_unique<event::stream>(loop_, fd, options);
+  link->connection->handle({
+      .on_connected = {},
+      .on_data = [this, id] { on_inbound_data(id); },
+      .on_closed = [this, id](event::close_reason) { drop_inbound(id); },
+  });
+  inbound_.emplace(id, std::move(link));
+}
+
+void network::drop_inbound(std::uint64_t id) {
+  const auto found = inbound_.find(id);
+  if (found == inbound_.end()) {
+    return;
+  }
+  found->second->connection->close(true);
+  loop_.defer([old = std::shared_ptr<inbound_link>(std::move(found->second))] {});
+  inbound_.erase(found);
+  callbacks_.on_caller_gone(id);
+}
+
+void network::on_inbound_data(std::uint64_t id) {
+  while (true) {
+    const auto found = inbound_.find(id);
+    if (found == inbound_.end()) {
+      return;
+    }
+    auto next = decode(found->second->connection->input());
+    if (next.malformed) {
+      drop_inbound(id);
+      return;
+    }
+    if (!next.value) {
+      return;
+    }
+    handle(*found->second, std::move(*next.value));
+  }
+}
+
+void network::handle(inbound_link& link, frame value) {
+  const std::uint64_t id = link.id;
+  if (auto* call = std::get_if<call_frame>(&value)) {
+    const std::int64_t offset = microseconds_of(loop_.now()) - call->sent_us;
+    link.least_offset_us = std::min(link.least_offset_us, offset);
+    const auto delay_ms = static_cast<std::uint32_t>((offset - link.least_offset_us) / 1'000);
+    call->remaining_ms -= std::min(call->remaining_ms, delay_ms);
+    callbacks_.on_call(id, std::move(*call));
+  } else if (const auto* cancelled = std::get_if<cancel_frame>(&value)) {
+    callbacks_.on_cancel(id, cancelled->id);
+  } else if (const auto* status = std::get_if<status_frame>(&value)) {
+    handle_status(*status);
+  } else if (const auto* asked = std::get_if<configuration_request>(&value)) {
+    if (auto text = callbacks_.on_configuration_request(asked->known_version)) {
+      link.connection->send(encode(std::move(*text)));
+    }
+  } else if (const auto* configuration = std::get_if<configuration_frame>(&value)) {
+    callbacks_.on_configuration(*configuration);
+  }
+}
+
+void network::handle_status(const status_frame& status) {
+  if (status.node.empty() || status.node == options_.node) {
+    return;
+  }
+  // A node that was not found in the store yet makes itself known by its link.
+  add_node(status.node, status.data_centre, status.address);
+  const auto found = nodes_.find(status.node);
+  if (found == nodes_.end()) {
+    return;
+  }
+  node_entry& node = found->second;
+  node.status = status;
+  node.heard = loop_.now();
+  node.sent_since_report = 0;
+  callbacks_.on_status(status);
+}
+
+} // namespace damaskledge::fleet
--- /dev/null
+++ b/source/http/fields.cpp
@@ -0,0 +1,147 @@
+#include <algorithm>
+#include <cctype>
+
+#include <Poco/Net/HTTPResponse.h>
+
+#include "http/http.h"
+
+namespace damaskledge::http {
+
+namespace {
+
+char lower(char value) {
+  return static_cast<char>(std::tolower(static_cast<unsigned char>(value)));
+}
+
+std::string_view trim(std::string_view text) {
+  while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) {
+    text.remove_prefix(1);
+  }
+  while (!text.empty() && (text.back() == ' ' || text.back() == '\t')) {
+    text.remove_suffix(1);
+  }
+  return text;
+}
+
+void append_fields(std::string& out, const header_fields& fields) {
+  for (const auto& it : fields.all()) {
+    out += it.name;
+    out += ": ";
+    out += it.value;
+    out += "\r\n";
+  }
+}
+
+} // namespace
+
+bool same_name(std::string_view a, std::string_view b) {
+  return a.size() == b.size() && std::equal(a.begin(), a.end(), b.begin(),
+                                            [](char x, char y) { return lower(x) == lower(y); });
+}
+
+void header_fields::add(std::string name, std::string value) {
+  fields_.push_back({std::move(name), std::move(value)});
+}
+
+void header_fields::remove(std::string_view name) {
+  std::erase_if(fields_, [&](const header_field& it) { return same_name(it.name, name); });
+}
+
+void header_fields::set(std::string_view name, std::string value) {
+  remove(name);
+  add(std::string(name), std::move(value));
+}
+
+const std::string* header_fields::find(std::string_view name) const {
+  for (const auto& it : fields_) {
+    if (same_name(it.name, name)) {
+      return &it.value;
+    }
+  }
+  return nullptr;
+}
+
+void remove_connection_fields(header_fields& fields) {
+  std::vector<std::string> names{"Connection",        "Keep-Alive", "Proxy-Connection",
+                                 "TE",                "Trailer",    "Transfer-Encoding",
+                                 "Upgrade",           "Expect",     "Proxy-Authorization",
+                                 "Proxy-Authenticate", "Content-Length"};
+  for (const auto& it : fields.all()) {
+    if (!same_name(it.name, "Connection")) {
+      continue;
+    }
+    std::string_view rest = it.value;
+    while (!rest.empty()) {
+      const auto comma = rest.find(',');
+      names.emplace_back(trim(rest.substr(0, comma)));
+      rest = comma == std::string_view::npos ? std::string_view{} : rest.substr(comma + 1);
+    }
+  }
+  for (const auto& it : names) {
+    fields.remove(it);
+  }
+}
+
+std::string serialize_head(const request& message) {
+  std::string out = message.method + ' ' + message.target + " HTTP/1.1\r\n";
+  append_fields(out, message.fields);
+  return out;
+}
+
+std::string serialize_head(const response& message) {
+  std::string out = "HTTP/1.1 " + std::to_string(message.status) + ' ' + message.reason + "\r\n";
+  append_fields(out, message.fields);
+  return out;
+}
+
+std::string serialize(const response& message, bool head_request) {
+  std::string out = serialize_head(message);
+  if (message.status != 204 && message.status != 304) {
+    out += "Content-Length: " + std::to_string(message.body.size()) + "\r\n";
+  }
+  out += "\r\n";
+  if (!head_request) {
+    out += message.body;
+  }
+  return out;
+}
+
+std::string reason_phrase(int status) {
+  return Poco::Net::HTTPResponse::getReasonForStatus(
+      static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status));
+}
+
+std::optional<std::uint64_t> parse_number(std::string_view text) {
+  constexpr std::size_t max_digits = 18;
+  if (text.empty() || text.size() > max_digits) {
+    return std::nullopt;
+  }
+  std::uint64_t value = 0;
+  for (const char it : text) {
+    if (it < '0' || it > '9') {
+      return std::nullopt;
+    }
+    value = value * 10 + static_cast<std::uint64_t>(it - '0');
+  }
+  return value;
+}
+
+std::optional<seconds> keep_alive_timeout(const header_fields& fields) {
+  constexpr std::string_view parameter = "timeout=";
+  const std::string* value = fields.find("Keep-Alive");
+  if (value == nullptr) {
+    return std::nullopt;
+  }
+  const auto at = value->find(parameter);
+  if (at == std::string::npos) {
+    return std::nullopt;
+  }
+  const std::string_view digits = std::string_view(*value).substr(at + parameter.size());
+  const auto n = parse_number(digits.substr(0, digits.find_first_not_of("0123456789")));
+  if (!n) {
+    return std::nullopt;
+  }
+  return seconds(static_cast<std::int64_t>(*n));
+}
+
+} // namespace damaskledge::http
--- /dev/null
+++ b/source/http/http.h
@@ -0,0 +1,172 @@
+/// @file
+/// Incremental reading of HTTP/1.1 messages with strict framing, and their serialization.
+///
+/// Poco's HTTPRequest and HTTPResponse parse a complete header block; the readers here delimit the
+/// block and the body without blocking, and reject what two parsers could frame differently.
+/// Source: RFC 9112.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "common/common.h"
+
+namespace damaskledge::http {
+
+struct header_field {
+  std::string name;
+  std::string value;
+
+  bool operator==(const header_field&) const = default;
+};
+
+/// Header fields in the order of arrival; names compare without case.
+class header_fields {
+ public:
+  void add(std::string name, std::string value);
+  /// Removes every field of that name.
+  void remove(std::string_view name);
+  /// Replaces every field of that name by one.
+  void set(std::string_view name, std::string value);
+  /// @return the first value, or nothing.
+  const std::string* find(std::string_view name) const;
+  const std::vector<header_field>& all() const { return fields_; }
+
+  bool operator==(const header_fields&) const = default;
+
+ private:
+  std::vector<header_field> fields_;
+};
+
+struct request {
+  std::string method;
+  /// Path and query as sent.
+  std::string target;
+  header_fields fields;
+  std::string body;
+  /// The sender keeps the connection open for a further request.
+  bool keep_alive = true;
+  bool expects_continue = false;
+};
+
+struct response {
+  int status = 0;
+  std::string reason;
+  header_fields fields;
+  std::string body;
+  bool keep_alive = true;
+};
+
+struct message_limits {
+  std::size_t head_bytes = 16U * 1024U;
+  std::size_t body_bytes = 16U * 1024U * 1024U;
+};
+
+enum class read_error : std::uint8_t { malformed, head_too_large, body_too_large, incomplete };
+
+/// How far a message has arrived.
+enum class read_state : std::uint8_t { idle, head, body, complete, failed };
+
+namespace detail {
+
+enum class framing : std::uint8_t { none, length, chunked, until_close };
+
+/// Decodes one message's body from a growing buffer.
+class body_decoder {
+ public:
+  void start(framing kind, std::size_t length, std::size_t limit);
+  /// Moves decoded bytes from `input` to `body`.
+  /// @return complete, failed or body.
+  read_state feed(std::string& input, std::string& body);
+  framing kind() const { return kind_; }
+  read_error error() const { return error_; }
+
+ private:
+  enum class chunk_step : std::uint8_t { size, data, data_end, trailer };
+  read_state feed_chunked(std::string& input, std::string& body);
+  read_state fail(read_error error);
+
+  framing kind_ = framing::none;
+  std::size_t remaining_ = 0;
+  std::size_t limit_ = 0;
+  chunk_step step_ = chunk_step::size;
+  read_error error_ = read_error::malformed;
+};
+
+} // namespace detail
+
+/// Reads requests from one connection, one after the other.
+class request_reader {
+ public:
+  explicit request_reader(message_limits limits) : limits_(limits) {}
+
+  void set_limits(message_limits limits) { limits_ = limits; }
+  /// Consumes bytes of at most one request from `input`.
+  read_state feed(std::string& input);
+  read_state state() const { return state_; }
+  read_error error() const { return error_; }
+  /// Valid from state `body` on.
+  request& message() { return message_; }
+  /// Makes the reader ready for the next request.
+  void reset();
+
+ private:
+  read_state fail(read_error error);
+  bool parse_head(std::string_view block);
+
+  message_limits limits_;
+  read_state state_ = read_state::idle;
+  read_error error_ = read_error::malformed;
+  request message_;
+  detail::body_decoder body_;
+};
+
+/// Reads the response to one request.
+class response_reader {
+ public:
+  explicit response_reader(message_limits limits) : limits_(limits) {}
+
+  /// @param head_request the request had method HEAD, so the response has no body.
+  void start(bool head_request);
+  read_state feed(std::string& input);
+  /// The connection has ended in order. Completes a body that is delimited by it.
+  read_state end_of_stream();
+  read_state state() const { return state_; }
+  response& message() { return message_; }
+  /// The body is delimited by the end of the connection.
+  bool until_close() const { return body_.kind() == detail::framing::until_close; }
+
+ private:
+  read_state fail();
+  bool parse_head(std::string_view block);
+
+  message_limits limits_;
+  bool head_request_ = false;
+  read_state state_ = read_state::idle;
+  response message_;
+  detail::body_decoder body_;
+};
+
+/// Removes the fields that concern only one connection, and those named by `Connection`.
+/// Source: RFC 9110 section 7.6.1.
+void remove_connection_fields(header_fields& fields);
+
+/// @return start line and fields, each with its line end, without the empty line.
+std::string serialize_head(const request& message);
+std::string serialize_head(const response& message);
+/// @return a whole response with Content-Length.
+std::string serialize(const response& message, bool head_request = false);
+/// @return the standard reason phrase of a status.
+std::string reason_phrase(int status);
+/// Compares without case.
+bool same_name(std::string_view a, std::string_view b);
+/// @return the non-negative decimal number, or nothing.
+std::optional<std::uint64_t> parse_number(std::string_view text);
+/// @return the idle timeout of a `Keep-Alive` field, or nothing.
+std::optional<seconds> keep_alive_timeout(const header_fields& fields);
+
+} // namespace damaskledge::http
--- /dev/null
+++ b/source/http/readers.cpp
@@ -0,0 +1,358 @@
+#include <algorithm>
+#include <cctype>
+
+#include <Poco/Exception.h>
+#include <Poco/MemoryStream.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+
+#include "http/http.h"
+
+namespace damaskledge::http {
+
+namespace {
+
+
+/// Chunk extensions and trailers are discarded; their size is bounded.
+constexpr std::size_t max_chunk_line = 1'024;
+
+bool is_token_character(char value) {
+  const auto code = static_cast<unsigned char>(value);
+  return std::isalnum(code) != 0 ||
+         std::string_view("!#$%&'*+-.^_`|~").find(value) != std::string_view::npos;
+}
+
+bool is_token(std::string_view text) {
+  return !text.empty() && std::all_of(text.begin(), text.end(), is_token_character);
+}
+
+/// @return true when every line after the first is "name: value" without folding, a space before
+/// the colon or control characters. Parsers differ in how they read such lines.
+bool strict_fields(std::string_view block) {
+  auto at = block.find("\r\n");
+  if (at == std::string_view::npos) {
+    return false;
+  }
+  const auto bad_byte = [](char it) {
+    const auto code = static_cast<unsigned char>(it);
+    return (code < 0x20 && it != '\t') || code == 0x7F;
+  };
+  const std::string_view first = block.substr(0, at);
+  if (std::any_of(first.begin(), first.end(), bad_byte)) {
+    return false;
+  }
+  block.remove_prefix(at + 2);
+  while (!block.empty()) {
+    at = block.find("\r\n");
+    if (at == std::string_view::npos) {
+      return false;
+    }
+    const std::string_view line = block.substr(0, at);
+    block.remove_prefix(at + 2);
+    if (line.empty()) {
+      break;
+    }
+    const auto colon = line.find(':');
+    if (colon == std::string_view::npos || !is_token(line.substr(0, colon)) ||
+        std::any_of(line.begin(), line.end(), bad_byte)) {
+      return false;
+    }
+  }
+  return true;
+}
+
+struct head_framing {
+  detail::framing kind = detail::framing::none;
+  std::size_t length = 0;
+};
+
+/// @return how the body is delimited; nothing when the fields are contradictory.
+template <class Message>
+std::optional<head_framing> find_framing(const Message& message) {
+  head_framing result;
+  bool has_length = false;
+  for (const auto& [name, value] : message) {
+    if (same_name(name, "Content-Length")) {
+      const auto n = parse_number(value);
+      if (!n || (has_length && *n != result.length)) {
+        return std::nullopt;
+      }
+      has_length = true;
+      result.kind = detail::framing::length;
+      result.length = *n;
+    }
+  }
+  if (message.has("Transfer-Encoding")) {
+    const auto n = std::count_if(message.begin(), message.end(), [](const auto& it) {
+      return same_name(it.first, "Transfer-Encoding");
+    });
+    if (has_length || n != 1 || !same_name(message.get("Transfer-Encoding"), "chunked")) {
+      return std::nullopt;
+    }
+    result.kind = detail::framing::chunked;
+  }
+  return result;
+}
+
+template <class Message>
+header_fields copy_fields(const Message& message) {
+  header_fields result;
+  for (const auto& [name, value] : message) {
+    result.add(name, value);
+  }
+  return result;
+}
+
+/// @return the end of the header block including its empty line, or npos.
+std::size_t head_end(const std::string& input) {
+  const auto at = input.find("\r\n\r\n");
+  return at == std::string::npos ? at : at + 4;
+}
+
+} // namespace
+
+namespace detail {
+
+void body_decoder::start(framing kind, std::size_t length, std::size_t limit) {
+  kind_ = kind;
+  remaining_ = length;
+  limit_ = limit;
+  step_ = chunk_step::size;
+}
+
+read_state body_decoder::fail(read_error error) {
+  error_ = error;
+  return read_state::failed;
+}
+
+read_state body_decoder::feed(std::string& input, std::string& body) {
+  switch (kind_) {
+  case framing::none:
+    return read_state::complete;
+  case framing::length: {
+    if (remaining_ > limit_) {
+      return fail(read_error::body_too_large);
+    }
+    const std::size_t n = std::min(remaining_ - body.size(), input.size());
+    body.append(input, 0, n);
+    input.erase(0, n);
+    return body.size() == remaining_ ? read_state::complete : read_state::body;
+  }
+  case framing::until_close:
+    body += input;
+    input.clear();
+    return body.size() > limit_ ? fail(read_error::body_too_large) : read_state::body;
+  case framing::chunked:
+    return feed_chunked(input, body);
+  }
+  return read_state::failed;
+}
+
+read_state body_decoder::feed_chunked(std::string& input, std::string& body) {
+  while (true) {
+    if (step_ == chunk_step::data) {
+      const std::size_t n = std::min(remaining_, input.size());
+      body.append(input, 0, n);
+      input.erase(0, n);
+      remaining_ -= n;
+      if (remaining_ != 0) {
+        return read_state::body;
+      }
+      step_ = chunk_step::data_end;
+    }
+    const auto end = input.find("\r\n");
+    if (end == std::string::npos) {
+      return input.size() > max_chunk_line ? fail(read_error::malformed) : read_state::body;
+    }
+    const std::string line = input.substr(0, end);
+    input.erase(0, end + 2);
+    if (line.find('\n') != std::string::npos || line.size() > max_chunk_line) {
+      return fail(read_error::malformed);
+    }
+    if (step_ == chunk_step::data_end) {
+      if (!line.empty()) {
+        return fail(read_error::malformed);
+      }
+      step_ = chunk_step::size;
+    } else if (step_ == chunk_step::trailer) {
+      if (line.empty()) {
+        return read_state::complete;
+      }
+    } else {
+      constexpr std::size_t max_size_digits = 8;
+      const std::string digits = line.substr(0, line.find(';'));
+      if (digits.empty() || digits.size() > max_size_digits ||
+          !std::all_of(digits.begin(), digits.end(),
+                       [](unsigned char it) { return std::isxdigit(it) != 0; })) {
+        return fail(read_error::malformed);
+      }
+      remaining_ = std::stoul(digits, nullptr, 16);
+      if (remaining_ + body.size() > limit_) {
+        return fail(read_error::body_too_large);
+      }
+      step_ = remaining_ == 0 ? chunk_step::trailer : chunk_step::data;
+    }
+  }
+}
+
+} // namespace detail
+
+read_state request_reader::fail(read_error error) {
+  error_ = error;
+  state_ = read_state::failed;
+  return state_;
+}
+
+void request_reader::reset() {
+  state_ = read_state::idle;
+  message_ = {};
+}
+
+read_state request_reader::feed(std::string& input) {
+  if (state_ == read_state::idle || state_ == read_state::head) {
+    // Empty lines before the request line are allowed (RFC 9112 section 2.2).
+    while (input.size() >= 2 && input[0] == '\r' && input[1] == '\n') {
+      input.erase(0, 2);
+    }
+    if (input.empty()) {
+      return state_;
+    }
+    state_ = read_state::head;
+    const auto end = head_end(input);
+    if (std::min(end, input.size()) > limits_.head_bytes) {
+      return fail(read_error::head_too_large);
+    }
+    if (end == std::string::npos) {
+      return state_;
+    }
+    const std::string block = input.substr(0, end);
+    input.erase(0, end);
+    if (!parse_head(block)) {
+      state_ = read_state::failed;
+      return state_;
+    }
+    state_ = read_state::body;
+  }
+  if (state_ == read_state::body) {
+    state_ = body_.feed(input, message_.body);
+    error_ = body_.error();
+  }
+  return state_;
+}
+
+bool request_reader::parse_head(std::string_view block) {
+  error_ = read_error::malformed;
+  if (!strict_fields(block)) {
+    return false;
+  }
+  Poco::Net::HTTPRequest parsed;
+  try {
+    Poco::MemoryInputStream in(block.data(), static_cast<std::streamsize>(block.size()));
+    parsed.read(in);
+  } catch (const Poco::Exception&) {
+    return false;
+  }
+  const auto framing = find_framing(parsed);
+  const std::string& version = parsed.getVersion();
+  const std::string& target = parsed.getURI();
+  if (!framing || !is_token(parsed.getMethod()) || target.empty() ||
+      (version != "HTTP/1.1" && version != "HTTP/1.0") || !parsed.has("Host")) {
+    return false;
+  }
+  const auto hosts = std::count_if(parsed.begin(), parsed.end(),
+                                   [](const auto& it) { return same_name(it.first, "Host"); });
+  if (hosts != 1 || (target.front() != '/' && target != "*")) {
+    return false;
+  }
+  if (framing->kind == detail::framing::chunked && version == "HTTP/1.0") {
+    return false;
+  }
+  message_.method = parsed.getMethod();
+  message_.target = target;
+  message_.keep_alive = parsed.getKeepAlive();
+  message_.expects_continue = parsed.has("Expect");
+  message_.fields = copy_fields(parsed);
+  body_.start(framing->kind, framing->length, limits_.body_bytes);
+  return true;
+}
+
+read_state response_reader::fail() {
+  state_ = read_state::failed;
+  return state_;
+}
+
+void response_reader::start(bool head_request) {
+  head_request_ = head_request;
+  state_ = read_state::idle;
+  message_ = {};
+  body_.start(detail::framing::none, 0, 0);
+}
+
+read_state response_reader::feed(std::string& input) {
+  while (state_ == read_state::idle || state_ == read_state::head) {
+    if (input.empty()) {
+      return state_;
+    }
+    state_ = read_state::head;
+    const auto end = head_end(input);
+    if (std::min(end, input.size()) > limits_.head_bytes) {
+      return fail();
+    }
+    if (end == std::string::npos) {
+      return state_;
+    }
+    const std::string block = input.substr(0, end);
+    input.erase(0, end);
+    message_ = {};
+    if (!parse_head(block)) {
+      return fail();
+    }
+    const bool interim = message_.status >= 100 && message_.status < 200;
+    state_ = interim ? read_state::idle : read_state::body;
+  }
+  if (state_ == read_state::body) {
+    state_ = body_.feed(input, message_.body);
+  }
+  return state_;
+}
+
+read_state response_reader::end_of_stream() {
+  if (state_ == read_state::body && until_close()) {
+    state_ = read_state::complete;
+  } else if (state_ != read_state::complete) {
+    state_ = read_state::failed;
+  }
+  return state_;
+}
+
+bool response_reader::parse_head(std::string_view block) {
+  if (!strict_fields(block)) {
+    return false;
+  }
+  Poco::Net::HTTPResponse parsed;
+  try {
+    Poco::MemoryInputStream in(block.data(), static_cast<std::streamsize>(block.size()));
+    parsed.read(in);
+  } catch (const Poco::Exception&) {
+    return false;
+  }
+  const auto framing = find_framing(parsed);
+  const int status = parsed.getStatus();
+  if (!framing || status < 100 || status > 599 || parsed.getVersion().rfind("HTTP/1.", 0) != 0) {
+    return false;
+  }
+  message_.status = status;
+  message_.reason = parsed.getReason();
+  message_.keep_alive = parsed.getKeepAlive();
+  message_.fields = copy_fields(parsed);
+  auto kind = framing->kind;
+  if (head_request_ || status < 200 || status == 204 || status == 304) {
+    kind = detail::framing::none;
+  } else if (kind == detail::framing::none) {
+    kind = detail::framing::until_close;
+  }
+  body_.start(kind, framing->length, limits_.body_bytes);
+  return true;
+}
+
+} // namespace damaskledge::http
--- /dev/null
+++ b/source/sidecar/agent.cpp
@@ -0,0 +1,424 @@
+#include "sidecar/agent.h"
+
+#include <algorithm>
+
+namespace damaskledge::sidecar {
+
+namespace {
+
+/// Interval of the status messages between nodes. Shares of accounts and load are this old at most;
+/// four a second cost about 0.5 KB/s a pair.
+constexpr milliseconds status_interval{250};
+/// Learned costs change slowly; they go with each n-th status.
+constexpr std::uint64_t learned_every = 4;
+/// Interval at which time-outs of the target's queue and connections are checked.
+constexpr milliseconds check_interval{10};
+/// A watch of the configuration waits this long; a hung one delays a version by no more.
+constexpr milliseconds configuration_wait{2'000};
+constexpr milliseconds node_wait{10'000};
+constexpr milliseconds store_timeout{1'500};
+/// A node that is silent for this long is taken as gone for good; its shares are free then.
+constexpr seconds forget_after{20};
+/// Two missed readiness questions, one second apart, take a VM out; callers may come until then.
+constexpr milliseconds readiness_delay{2'500};
+/// Time kept of the grace for the last answers to leave.
+constexpr milliseconds shutdown_margin{600};
+/// Part of the retry budget that nodes take from their own requests. The budgets of all nodes
+/// together stay below the fleet's, also when requests are counted at other times than repeats.
+constexpr double retry_part = 0.7;
+
+http_service::events handle_requests(std::function<void(connection_id, http::request&)> handler) {
+  return {.on_request = std::move(handler), .on_caller_gone = [](connection_id) {}};
+}
+
+} // namespace
+
+agent::agent(event::loop& loop, const settings& values)
+    : loop_(loop), settings_(values), incarnation_(random_id().low), log_(loop, values.name),
+      rates_(values.first_start),
+      budget_({values.retry_ratio * retry_part, 1, values.retry_window}),
+      writer_(loop, values.store_address), health_(loop, values.upstream_address) {
+  fleet::network_options network;
+  network.node = values.name;
+  network.data_centre = values.data_centre;
+  network.address = values.peer_address;
+  nodes_ = std::make_unique<fleet::network>(
+      loop, network,
+      fleet::network_events{
+          .on_call = [this](std::uint64_t from,
+                            fleet::call_frame call) { on_peer_call(from, std::move(call)); },
+          .on_cancel = [this](std::uint64_t from,
+                              std::uint64_t call) { on_peer_cancel(from, call); },
+          .on_caller_gone = [this](std::uint64_t from) { on_peer_gone(from); },
+          .on_status = [this](const fleet::status_frame& status) { on_status(status); },
+          .on_configuration_request =
+              [this](std::uint64_t known) -> std::optional<fleet::configuration_frame> {
+            if (!configuration_ || configuration_->version() <= known) {
+              return std::nullopt;
+            }
+            return fleet::configuration_frame{configuration_->version(), configuration_text_};
+          },
+          .on_configuration = [this](const fleet::configuration_frame& frame) { adopt(frame.text, "node"); },
+          .on_link =
+              [this](const fleet::node_entry& node, bool connected) {
+                log_.state(log_line(connected ? "node_connected" : "node_lost")
+                               .field("peer", node.name)
+                               .field("address", to_string(node.address)));
+              },
+      });
+  executor_options executor;
+  executor.target = values.upstream_address;
+  executor.service = values.service;
+  executor.drain_limit = values.drain_limit;
+  target_ = std::make_unique<upstream_executor>(loop, executor, log_, [this] { send_status(); });
+  callers_ = std::make_unique<http_service>(
+      loop, http_service::events{
+                .on_request = [this](connection_id from,
+                                     http::request& it) { router_->on_request(from, it); },
+                .on_caller_gone = [this](connection_id from) { router_->on_caller_gone(from); },
+            });
+  readiness_ = std::make_unique<http_service>(
+      loop, handle_requests([this](connection_id from, http::request&) { on_ready(from); }));
+  announcements_ = std::make_unique<http_service>(
+      loop, handle_requests(
+                [this](connection_id from, http::request& it) { on_announcement(from, it); }));
+  metrics_ = std::make_unique<http_service>(
+      loop, handle_requests([this](connection_id from, http::request&) { on_metrics(from); }));
+  router_options routing;
+  routing.service = values.service;
+  routing.data_centre = values.data_centre;
+  router_ = std::make_unique<router>(loop, routing, *callers_, *nodes_, *target_, rates_, budget_,
+                                     admission_, demand_, log_, counters_);
+  configuration_mirror_ = std::make_unique<object_mirror>(
+      loop, values.store_address, std::string(adapter::configuration_kind), configuration_wait,
+      object_mirror::events{
+          .on_object =
+              [this](const adapter::stored_object& object) {
+                if (object.name == adapter::configuration_name) {
+                  adopt(object.content, "store");
+                }
+              },
+          .on_removed = [](const std::string&) {},
+          .on_listed = [] {},
+      },
+      log_, counters_);
+  node_mirror_ = std::make_unique<object_mirror>(
+      loop, values.store_address, std::string(adapter::node_kind), node_wait,
+      object_mirror::events{
+          .on_object = [this](const adapter::stored_object& object) { on_node_object(object); },
+          .on_removed =
+              [this](const std::string& name) {
+                if (name == settings_.name) {
+                  own_object_.reset();
+                  register_node();
+                }
+              },
+          .on_listed = [this] { register_node(); },
+      },
+      log_, counters_);
+}
+
+agent::~agent() = default;
+
+leaf::result<void> agent::start() {
+  BOOST_LEAF_CHECK(nodes_->listen());
+  BOOST_LEAF_CHECK(callers_->listen(settings_.caller_address));
+  BOOST_LEAF_CHECK(readiness_->listen(settings_.ready_address));
+  BOOST_LEAF_CHECK(announcements_->listen(settings_.announce_address));
+  if (settings_.metrics_address.port != 0) {
+    BOOST_LEAF_CHECK(metrics_->listen(settings_.metrics_address));
+  }
+  log_.state(log_line("started")
+                 .field("service", settings_.service)
+                 .field("data_centre", settings_.data_centre)
+                 .field("incarnation", static_cast<std::int64_t>(incarnation_ >> 1U)));
+  configuration_mirror_->start();
+  node_mirror_->start();
+  fast_tick();
+  slow_tick();
+  return {};
+}
+
+void agent::reply(http_service& service, connection_id to, int status, const std::string& body,
+                  const std::string& type) {
+  http::response answer;
+  answer.status = status;
+  answer.reason = http::reason_phrase(status);
+  if (!type.empty()) {
+    answer.fields.add("Content-Type", type);
+  }
+  service.respond(to, http::serialize_head(answer), body);
+}
+
+void agent::on_ready(connection_id from) {
+  reply(*readiness_, from, configuration_ && !leaving_ ? 200 : 503, "", "");
+}
+
+void agent::on_metrics(connection_id from) {
+  counters_.set("configuration_version",
+                configuration_ ? static_cast<double>(configuration_->version()) : 0);
+  counters_.set("target_in_flight", static_cast<double>(target_->in_flight()));
+  counters_.set("target_queued", static_cast<double>(target_->queued()));
+  counters_.set("requests_in_flight", static_cast<double>(router_->in_flight()));
+  counters_.set("caller_connections", static_cast<double>(callers_->connections()));
+  reply(*metrics_, from, 200, counters_.exposition(), "text/plain; version=0.0.4");
+}
+
+void agent::on_announcement(connection_id from, http::request& message) {
+  const auto call = adapter::match_announcement(message.method, message.target);
+  if (!call) {
+    reply(*announcements_, from, 404, "", "");
+    return;
+  }
+  if (call->farewell) {
+    target_->farewell(call->instance);
+    reply(*announcements_, from, 200, "{}", "application/json");
+    return;
+  }
+  const auto value = adapter::parse_announcement(call->instance, message.body);
+  if (!value) {
+    log_.state(log_line("announcement_malformed").field("instance", call->instance));
+    reply(*announcements_, from, 400, "", "");
+    return;
+  }
+  target_->announced(*value);
+  reply(*announcements_, from, 200, "{}", "application/json");
+}
+
+void agent::adopt(const std::string& text, const std::string& source) {
+  leaf::try_handle_all(
+      [&]() -> leaf::result<void> {
+        BOOST_LEAF_AUTO(value, adapter::parse_configuration(text));
+        if (configuration_ && value->version() <= configuration_->version()) {
+          return {};
+        }
+        configuration_ = value;
+        configuration_text_ = text;
+        router_->set_configuration(value);
+        http_service_options options;
+        options.limits.head_bytes = value->limits().header_bytes;
+        options.limits.body_bytes = value->limits().body_bytes;
+        options.header_timeout = value->limits().header_timeout;
+        options.idle_timeout = value->limits().idle_timeout;
+        callers_->set_options(options);
+        log_.state(log_line("configuration_in_force")
+                       .field("version", static_cast<std::int64_t>(value->version()))
+                       .field("source", source));
+        identify_target();
+        send_status();
+        return {};
+      },
+      [&](const parse_error& error) {
+        log_.state(log_line("configuration_rejected").field("why", to_string(error)));
+      },
+      [&] { log_.state(log_line("configuration_rejected").field("why", "unknown error")); });
+}
+
+void agent::identify_target() {
+  const traffic::service* service = configuration_->find_service(settings_.service);
+  if (service == nullptr || target_->announced_once() || health_.busy()) {
+    return;
+  }
+  http::request question;
+  question.method = "GET";
+  question.target = service->health_path;
+  health_.call(std::move(question), store_timeout, [this](const store_answer& answer) {
+    if (answer.status == 200 && !answer.instance.empty()) {
+      target_->identified(answer.instance);
+    }
+  });
+}
+
+void agent::on_node_object(const adapter::stored_object& object) {
+  if (object.name == settings_.name) {
+    own_object_ = object;
+    return;
+  }
+  if (const auto record = adapter::parse_node_record(object.name, object.content)) {
+    nodes_->add_node(record->name, record->data_centre, record->address);
+    rates_.set_fleet_size(nodes_->nodes().size() + 1);
+  } else {
+    log_.state(log_line("node_object_malformed").field("name", object.name));
+  }
+}
+
+void agent::register_node() {
+  const adapter::node_record record{settings_.name, settings_.data_centre, settings_.peer_address};
+  if (writer_.busy() || leaving_) {
+    return;
+  }
+  if (own_object_ && adapter::parse_node_record(own_object_->name, own_object_->content) == record) {
+    return;
+  }
+  auto call = own_object_
+                  ? adapter::replace_object(adapter::node_kind, settings_.name,
+                                            adapter::to_json(record), own_object_->revision)
+                  : adapter::create_object(adapter::node_kind, settings_.name,
+                                           adapter::to_json(record));
+  writer_.call(std::move(call), store_timeout, [this](const store_answer& answer) {
+    counters_.store_call("written");
+    log_.state(log_line("node_registered").field("status", answer.status));
+    if (answer.status == 200 || answer.status == 201 || answer.status == 409) {
+      // The mirror brings the object as it is now, also after a conflict.
+      return;
+    }
+    constexpr milliseconds pause{700};
+    loop_.after(pause, [this] { register_node(); });
+  });
+}
+
+void agent::on_peer_call(std::uint64_t connection, fleet::call_frame call) {
+  const auto key = std::pair(connection, call.id);
+  fleet::answer_frame refused;
+  refused.id = call.id;
+  refused.result = static_cast<std::uint8_t>(fleet::call_result::not_run);
+  if (call.service != settings_.service) {
+    refused.reason = "another service is here";
+    nodes_->answer(connection, refused);
+    return;
+  }
+  upstream_call work;
+  work.request_id = std::move(call.request_id);
+  work.route = std::move(call.route);
+  work.head = std::move(call.head);
+  work.body = std::move(call.body);
+  work.deadline = loop_.now() + milliseconds(call.remaining_ms);
+  work.objective = milliseconds(call.objective_ms);
+  work.priority = call.priority;
+  work.idempotent = call.idempotent;
+  work.inner = call.inner;
+  work.fingerprint = {call.fingerprint_high, call.fingerprint_low};
+  peer_calls_[key] = 0;
+  const auto id =
+      target_->submit(std::move(work), [this, key](fleet::answer_frame answer) {
+        answer.id = key.second;
+        peer_calls_.erase(key);
+        nodes_->answer(key.first, answer);
+      });
+  if (const auto found = peer_calls_.find(key); found != peer_calls_.end()) {
+    found->second = id;
+  }
+}
+
+void agent::on_peer_cancel(std::uint64_t connection, std::uint64_t call) {
+  const auto found = peer_calls_.find({connection, call});
+  if (found != peer_calls_.end()) {
+    const auto id = found->second;
+    peer_calls_.erase(found);
+    target_->cancel(id);
+  }
+}
+
+void agent::on_peer_gone(std::uint64_t connection) {
+  std::vector<upstream_executor::call_id> ended;
+  for (auto it = peer_calls_.lower_bound({connection, 0});
+       it != peer_calls_.end() && it->first.first == connection;) {
+    ended.push_back(it->second);
+    it = peer_calls_.erase(it);
+  }
+  for (const auto it : ended) {
+    target_->cancel(it);
+  }
+}
+
+void agent::on_status(const fleet::status_frame& status) {
+  rates_.heard(loop_.now(), status.node, status.incarnation, status.accounts);
+  const std::uint64_t known = configuration_ ? configuration_->version() : 0;
+  if (status.configuration_version > known) {
+    nodes_->request_configuration(status.node, known);
+  }
+}
+
+fleet::status_frame agent::make_status(bool with_learned) {
+  fleet::status_frame status;
+  status.node = settings_.name;
+  status.data_centre = settings_.data_centre;
+  status.address = settings_.peer_address;
+  status.incarnation = incarnation_;
+  status.configuration_version = configuration_ ? configuration_->version() : 0;
+  status.leaving = leaving_;
+  status.target = target_->status();
+  status.accounts = rates_.changed(loop_.now());
+  status.demand = own_demand_;
+  if (with_learned) {
+    status.calls = target_->observer().ratios();
+    status.costs = target_->observer().costs();
+  }
+  return status;
+}
+
+void agent::send_status() {
+  nodes_->broadcast(make_status(true));
+}
+
+void agent::plan_admission() {
+  traffic::load_picture picture;
+  const auto add = [&](const fleet::status_frame& status) {
+    picture.demand.insert(picture.demand.end(), status.demand.begin(), status.demand.end());
+    picture.calls.insert(picture.calls.end(), status.calls.begin(), status.calls.end());
+    picture.costs.insert(picture.costs.end(), status.costs.begin(), status.costs.end());
+    if (status.target.ready) {
+      picture.capacity[status.target.service] += status.target.slots;
+    }
+  };
+  fleet::status_frame own = make_status(true);
+  add(own);
+  for (const auto& [name, node] : nodes_->nodes()) {
+    if (nodes_->reachable(node)) {
+      add(node.status);
+    }
+  }
+  admission_.set_plan(traffic::plan_admission(picture, traffic::admission_options{}));
+}
+
+void agent::forget_lost_nodes() {
+  for (const auto& [name, node] : nodes_->nodes()) {
+    if (!node.status.node.empty() && loop_.now() - node.heard > forget_after) {
+      rates_.forget_node(name);
+    }
+  }
+}
+
+void agent::fast_tick() {
+  target_->tick();
+  log_.flush();
+  if (leaving_) {
+    check_shutdown();
+  }
+  loop_.after(check_interval, [this] { fast_tick(); });
+}
+
+void agent::slow_tick() {
+  target_->observer().end_interval();
+  own_demand_ = demand_.end_interval(status_interval);
+  ++status_count_;
+  send_status();
+  plan_admission();
+  forget_lost_nodes();
+  loop_.after(status_interval, [this] { slow_tick(); });
+}
+
+void agent::shut_down() {
+  if (leaving_) {
+    return;
+  }
+  leaving_ = true;
+  leaving_since_ = loop_.now();
+  log_.state(log_line("stopping").field("requests_in_flight",
+                                        static_cast<std::int64_t>(router_->in_flight())));
+  callers_->close_after_answers();
+  send_status();
+}
+
+void agent::check_shutdown() {
+  const duration elapsed = loop_.now() - leaving_since_;
+  const bool idle = router_->in_flight() == 0 && target_->in_flight() == 0;
+  if ((idle && elapsed > readiness_delay) || elapsed > settings_.grace - shutdown_margin) {
+    log_.state(log_line("stopped").field("requests_cut",
+                                         static_cast<std::int64_t>(router_->in_flight())));
+    log_.flush();
+    loop_.stop();
+  }
+}
+
+} // namespace damaskledge::sidecar
--- /dev/null
+++ b/source/sidecar/agent.h
@@ -0,0 +1,86 @@
+/// @file
+/// Composition of one node: its parts, the interfaces it serves and its periodic work.
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "fleet/fleet.h"
+#include "sidecar/event_log.h"
+#include "sidecar/http_service.h"
+#include "sidecar/instruments.h"
+#include "sidecar/router.h"
+#include "sidecar/sidecar.h"
+#include "sidecar/store_client.h"
+#include "sidecar/upstream_executor.h"
+#include "traffic/traffic.h"
+
+namespace damaskledge::sidecar {
+
+class agent {
+ public:
+  agent(event::loop& loop, const settings& values);
+  ~agent();
+  agent(const agent&) = delete;
+  agent& operator=(const agent&) = delete;
+
+  leaf::result<void> start();
+  /// Begins an orderly shutdown; the loop stops when it is done.
+  void shut_down();
+
+ private:
+  void on_peer_call(std::uint64_t connection, fleet::call_frame call);
+  void on_peer_cancel(std::uint64_t connection, std::uint64_t call);
+  void on_peer_gone(std::uint64_t connection);
+  void on_status(const fleet::status_frame& status);
+  void on_announcement(connection_id from, http::request& message);
+  void on_ready(connection_id from);
+  void on_metrics(connection_id from);
+  void adopt(const std::string& text, const std::string& source);
+  void on_node_object(const adapter::stored_object& object);
+  void register_node();
+  void identify_target();
+  void send_status();
+  fleet::status_frame make_status(bool with_learned);
+  void plan_admission();
+  void forget_lost_nodes();
+  void fast_tick();
+  void slow_tick();
+  void check_shutdown();
+  void reply(http_service& service, connection_id to, int status, const std::string& body,
+             const std::string& type);
+
+  event::loop& loop_;
+  settings settings_;
+  std::uint64_t incarnation_;
+  event_log log_;
+  instruments counters_;
+  traffic::account_rates rates_;
+  traffic::retry_budget budget_;
+  traffic::entry_admission admission_;
+  traffic::demand_meter demand_;
+  std::vector<traffic::class_demand> own_demand_;
+  std::unique_ptr<fleet::network> nodes_;
+  std::unique_ptr<upstream_executor> target_;
+  std::unique_ptr<http_service> callers_;
+  std::unique_ptr<http_service> readiness_;
+  std::unique_ptr<http_service> announcements_;
+  std::unique_ptr<http_service> metrics_;
+  std::unique_ptr<router> router_;
+  std::unique_ptr<object_mirror> configuration_mirror_;
+  std::unique_ptr<object_mirror> node_mirror_;
+  store_channel writer_;
+  store_channel health_;
+  std::shared_ptr<const traffic::configuration> configuration_;
+  /// The configuration in force as the operator wrote it, for nodes that cannot reach the store.
+  std::string configuration_text_;
+  /// Own object as the store has it, and its revision.
+  std::optional<adapter::stored_object> own_object_;
+  /// Calls of other nodes under way, by connection and the id there.
+  std::map<std::pair<std::uint64_t, std::uint64_t>, upstream_executor::call_id> peer_calls_;
+  std::uint64_t status_count_ = 0;
+  bool leaving_ = false;
+  time_point leaving_since_{};
+};
+
+} // namespace damaskledge::sidecar
--- /dev/null
+++ b/source/sidecar/router.h
@@ -0,0 +1,86 @@
+/// @file
+/// Requests that begin on this VM: authentication, account rates, admission at the entry, choice of
+/// a target's node, repeats and the final answer.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+
+#include "fleet/fleet.h"
+#include "sidecar/event_log.h"
+#include "sidecar/http_service.h"
+#include "sidecar/instruments.h"
+#include "sidecar/upstream_executor.h"
+#include "traffic/traffic.h"
+
+namespace damaskledge::sidecar {
+
+struct router_options {
+  /// Service of the target on this VM.
+  std::string service;
+  std::string data_centre;
+  /// Load difference, in parts of a target's slots, at which a request leaves its data centre.
+  /// Bytes between data centres are billed.
+  double data_centre_preference = 0.3;
+  /// Nodes that are asked for one request.
+  unsigned max_nodes = 3;
+};
+
+class router {
+ public:
+  router(event::loop& loop, router_options options, http_service& callers, fleet::network& nodes,
+         upstream_executor& target, traffic::account_rates& rates, traffic::retry_budget& budget,
+         traffic::entry_admission& admission, traffic::demand_meter& demand, event_log& log,
+         instruments& counters);
+  ~router();
+  router(const router&) = delete;
+  router& operator=(const router&) = delete;
+
+  void set_configuration(std::shared_ptr<const traffic::configuration> value) {
+    configuration_ = std::move(value);
+  }
+  void on_request(connection_id caller, http::request& message);
+  void on_caller_gone(connection_id caller);
+  std::size_t in_flight() const { return exchanges_.size(); }
+
+ private:
+  struct exchange;
+  struct candidate {
+    /// Empty for the target of this VM.
+    std::string node;
+    double load = 0;
+  };
+
+  bool authenticate(exchange& it, const http::request& message);
+  bool read_deadline(exchange& it, const http::request& message);
+  bool admit(exchange& it);
+  void prepare(exchange& it, http::request& message) const;
+  void dispatch(exchange& it);
+  std::optional<candidate> choose(const exchange& it);
+  void on_answer(connection_id caller, fleet::answer_frame answer);
+  bool repeat(exchange& it, const fleet::answer_frame& answer);
+  void on_timeout(connection_id caller);
+  void refuse(exchange& it, int status, const std::string& reason, milliseconds retry_after);
+  void finish(connection_id caller);
+
+  event::loop& loop_;
+  router_options options_;
+  http_service& callers_;
+  fleet::network& nodes_;
+  upstream_executor& target_;
+  traffic::account_rates& rates_;
+  traffic::retry_budget& budget_;
+  traffic::entry_admission& admission_;
+  traffic::demand_meter& demand_;
+  event_log& log_;
+  instruments& counters_;
+  std::shared_ptr<const traffic::configuration> configuration_;
+  traffic::traffic_splitter splitter_;
+  std::unordered_map<connection_id, std::unique_ptr<exchange>> exchanges_;
+  std::uint64_t choices_ = 0;
+};
+
+} // namespace damaskledge::sidecar
--- /dev/null
+++ b/source/sidecar/store_client.cpp
@@ -0,0 +1,188 @@
+#include "sidecar/store_client.h"
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+namespace damaskledge::sidecar {
+
+namespace {
+
+/// Answers come in 4 ms as a rule and within a second when the store is slow.
+constexpr milliseconds call_timeout{1'500};
+/// Time beyond a watch's wait after which it counts as hung.
+constexpr milliseconds watch_margin{1'000};
+/// Bound of the silence on the store's connections, as small as TCP keep-alive allows.
+constexpr milliseconds store_silence{2'000};
+
+} // namespace
+
+store_channel::~store_channel() {
+  loop_.cancel(timer_);
+}
+
+void store_channel::open() {
+  event::stream_options options;
+  options.silence_timeout = store_silence;
+  options.read_limit = 8U * 1024U * 1024U;
+  stream_ = std::make_unique<event::stream>(loop_, store_, options);
+  stream_->handle({
+      .on_connected = {},
+      .on_data =
+          [this] {
+            if (!done_) {
+              // Nothing was asked for; what comes is not to be taken for the next answer.
+              finish({}, false);
+              return;
+            }
+            const auto state = reader_.feed(stream_->input());
+            if (state == http::read_state::failed) {
+              finish({}, false);
+            } else if (state == http::read_state::complete) {
+              const bool keep = reader_.message().keep_alive && !reader_.until_close() &&
+                                stream_->input().empty();
+              finish(take_answer(), keep);
+            }
+          },
+      .on_closed =
+          [this](event::close_reason reason) {
+            if (reason == event::close_reason::end_of_stream && done_ &&
+                reader_.end_of_stream() == http::read_state::complete) {
+              finish(take_answer(), false);
+            } else {
+              finish({}, false);
+            }
+          },
+  });
+}
+
+void store_channel::call(http::request value, milliseconds timeout, completion done) {
+  done_ = std::move(done);
+  if (!stream_ || stream_->closed()) {
+    open();
+  }
+  reader_.start(false);
+  value.fields.add("Host", to_string(store_));
+  std::string wire = http::serialize_head(value);
+  if (!value.body.empty()) {
+    wire += "Content-Length: " + std::to_string(value.body.size()) + "\r\n";
+  }
+  wire += "\r\n";
+  wire += value.body;
+  timer_ = loop_.after(timeout, [this] { finish({}, false); });
+  stream_->send(wire);
+}
+
+store_answer store_channel::take_answer() {
+  auto& message = reader_.message();
+  const std::string* instance = message.fields.find(adapter::header::instance);
+  return {message.status, std::move(message.body), instance == nullptr ? "" : *instance};
+}
+
+void store_channel::finish(store_answer answer, bool keep) {
+  loop_.cancel(timer_);
+  if (!keep && stream_) {
+    stream_->close();
+    loop_.defer([old = std::shared_ptr<event::stream>(std::move(stream_))] {});
+  }
+  auto done = std::exchange(done_, nullptr);
+  if (done) {
+    done(std::move(answer));
+  }
+}
+
+milliseconds backoff::next() {
+  static std::minstd_rand random{std::random_device{}()};
+  const milliseconds result(
+      std::uniform_int_distribution<std::int64_t>(current_.count() / 2, current_.count())(random));
+  current_ = std::min(current_ * 2, last);
+  return result;
+}
+
+object_mirror::object_mirror(event::loop& loop, const endpoint& store, std::string kind,
+                             milliseconds wait, events callbacks, event_log& log,
+                             instruments& counters)
+    : loop_(loop), channel_(loop, store), kind_(std::move(kind)), wait_(wait),
+      callbacks_(std::move(callbacks)), log_(log), counters_(counters) {}
+
+void object_mirror::list(const std::string& after) {
+  channel_.call(adapter::list_objects(kind_, after), call_timeout,
+                [this](const store_answer& answer) { on_page(answer); });
+}
+
+void object_mirror::retry_later(const std::string& what, int status, bool from_list) {
+  counters_.store_call("failed");
+  if (available_) {
+    available_ = false;
+    log_.state(log_line("store_lost").field("kind", kind_).field("call", what).field(
+        "status", status));
+  }
+  loop_.after(backoff_.next(), [this, from_list] {
+    if (from_list) {
+      list("");
+    } else {
+      watch();
+    }
+  });
+}
+
+void object_mirror::on_page(const store_answer& answer) {
+  const auto page = answer.status == 200 ? adapter::parse_page(answer.body) : std::nullopt;
+  if (!page) {
+    retry_later("list", answer.status, true);
+    return;
+  }
+  counters_.store_call("listed");
+  for (const auto& it : page->objects) {
+    callbacks_.on_object(it);
+  }
+  if (page->has_more && !page->objects.empty()) {
+    list(page->objects.back().name);
+    return;
+  }
+  if (!available_) {
+    available_ = true;
+    log_.state(log_line("store_regained").field("kind", kind_));
+  }
+  backoff_.reset();
+  revision_ = page->revision;
+  synchronised_ = true;
+  callbacks_.on_listed();
+  watch();
+}
+
+void object_mirror::watch() {
+  channel_.call(adapter::watch_objects(kind_, revision_, wait_), wait_ + watch_margin,
+                [this](const store_answer& answer) { on_changes(answer); });
+}
+
+void object_mirror::on_changes(const store_answer& answer) {
+  if (answer.status == 410) {
+    log_.state(log_line("store_history_gone").field("kind", kind_).field(
+        "revision", static_cast<std::int64_t>(revision_)));
+    list("");
+    return;
+  }
+  const auto page = answer.status == 200 ? adapter::parse_changes(answer.body) : std::nullopt;
+  if (!page) {
+    retry_later("watch", answer.status, false);
+    return;
+  }
+  counters_.store_call("watched");
+  if (!available_) {
+    available_ = true;
+    log_.state(log_line("store_regained").field("kind", kind_));
+  }
+  backoff_.reset();
+  revision_ = std::max(revision_, page->revision);
+  for (const auto& it : page->changes) {
+    if (it.removed) {
+      callbacks_.on_removed(it.object.name);
+    } else {
+      callbacks_.on_object(it.object);
+    }
+  }
+  watch();
+}
+
+} // namespace damaskledge::sidecar
--- /dev/null
+++ b/source/sidecar/store_client.h
@@ -0,0 +1,103 @@
+/// @file
+/// Calls to the platform's store: one connection with one call at a time, and the mirror of the
+/// objects of one kind that is built on it.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "event/event.h"
+#include "http/http.h"
+#include "platform/adapter.h"
+#include "sidecar/event_log.h"
+#include "sidecar/instruments.h"
+
+namespace damaskledge::sidecar {
+
+/// Result of one call; status 0 when no whole answer came. The call may have taken effect then.
+struct store_answer {
+  int status = 0;
+  std::string body;
+  /// Identity of the target, in the answer to a health check.
+  std::string instance;
+};
+
+class store_channel {
+ public:
+  using completion = std::function<void(store_answer)>;
+
+  store_channel(event::loop& loop, const endpoint& store) : loop_(loop), store_(store) {}
+  ~store_channel();
+  store_channel(const store_channel&) = delete;
+  store_channel& operator=(const store_channel&) = delete;
+
+  /// Makes one call; the channel must not be busy.
+  /// @param timeout the connection is given up after this time.
+  void call(http::request value, milliseconds timeout, completion done);
+  bool busy() const { return static_cast<bool>(done_); }
+
+ private:
+  void open();
+  void finish(store_answer answer, bool keep);
+  store_answer take_answer();
+
+  event::loop& loop_;
+  endpoint store_;
+  std::unique_ptr<event::stream> stream_;
+  http::response_reader reader_{http::message_limits{64U * 1024U, 8U * 1024U * 1024U}};
+  completion done_;
+  event::timer_id timer_ = 0;
+};
+
+/// Waits between failed calls: doubles up to a bound, with jitter so that nodes spread.
+class backoff {
+ public:
+  milliseconds next();
+  void reset() { current_ = first; }
+
+ private:
+  static constexpr milliseconds first{100};
+  static constexpr milliseconds last{1'000};
+  milliseconds current_ = first;
+};
+
+/// Keeps a copy of all objects of one kind by a list and a watch.
+class object_mirror {
+ public:
+  struct events {
+    /// An object is new or has changed.
+    std::function<void(const adapter::stored_object&)> on_object;
+    std::function<void(const std::string& name)> on_removed;
+    /// A whole list was read.
+    std::function<void()> on_listed;
+  };
+
+  /// @param wait how long one watch waits at the store. A watch that hangs is found after it.
+  object_mirror(event::loop& loop, const endpoint& store, std::string kind, milliseconds wait,
+                events callbacks, event_log& log, instruments& counters);
+  void start() { list(""); }
+  bool synchronised() const { return synchronised_; }
+
+ private:
+  void list(const std::string& after);
+  void watch();
+  void on_page(const store_answer& answer);
+  void on_changes(const store_answer& answer);
+  void retry_later(const std::string& what, int status, bool from_list);
+
+  event::loop& loop_;
+  store_channel channel_;
+  std::string kind_;
+  milliseconds wait_;
+  events callbacks_;
+  event_log& log_;
+  instruments& counters_;
+  backoff backoff_;
+  std::uint64_t revision_ = 0;
+  bool synchronised_ = false;
+  bool available_ = true;
+};
+
+} // namespace damaskledge::sidecar
--- /dev/null
+++ b/source/sidecar/upstream_executor.h
@@ -0,0 +1,173 @@
+/// @file
+/// The way to the target beside this node: its identity and state, a bound on concurrent requests,
+/// a queue by priority, kept connections, and what is known of each request's fate.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <tuple>
+#include <unordered_map>
+#include <vector>
+
+#include "common/common.h"
+#include "event/event.h"
+#include "fleet/fleet.h"
+#include "http/http.h"
+#include "platform/adapter.h"
+#include "sidecar/event_log.h"
+#include "traffic/traffic.h"
+
+namespace damaskledge::sidecar {
+
+/// What the node believes of its target.
+enum class target_state : std::uint8_t {
+  /// Nothing was heard since the node's start.
+  unknown,
+  ready,
+  /// It told that it leaves.
+  leaving,
+  /// Connections fail or go unanswered, or another target has the address.
+  unreachable,
+};
+
+std::string_view to_string(target_state state);
+
+/// Limits and time-outs of the executor.
+struct executor_options {
+  endpoint target;
+  std::string service;
+  /// Part of the announced slots in use at most. Targets slow down when they are nearly full.
+  double slot_use = 0.95;
+  /// Slots assumed before the target has announced itself.
+  std::uint32_t default_slots = 8;
+  /// A target on the same VM accepts within this time unless it is dead.
+  milliseconds connect_timeout{250};
+  /// No answer at all for this long, with requests under way, starts a check of the target.
+  milliseconds silence_before_check{400};
+  /// Idle connections are closed this long before the target would do it.
+  milliseconds keep_alive_margin{1'000};
+  /// Idle time of a kept connection when the target names none.
+  milliseconds default_keep_alive{3'000};
+  /// Longest wait in the queue as a part of the objective, for requests of callers.
+  double caller_wait = 0.25;
+  /// The same for calls of targets: refusing one wastes the work of its whole request.
+  double inner_wait = 1.0;
+  /// A leaving target gets no queued request later than this after its announcement.
+  milliseconds drain_limit{2'000};
+};
+
+/// One request for the target.
+struct upstream_call {
+  std::string request_id;
+  std::string route;
+  std::string head;
+  std::string body;
+  time_point deadline{};
+  milliseconds objective{0};
+  unsigned priority = 0;
+  bool idempotent = false;
+  bool inner = false;
+  id128 fingerprint;
+};
+
+class upstream_executor {
+ public:
+  using completion = std::function<void(fleet::answer_frame)>;
+  using call_id = std::uint64_t;
+
+  upstream_executor(event::loop& loop, executor_options options, event_log& log,
+                    std::function<void()> state_changed);
+  ~upstream_executor();
+  upstream_executor(const upstream_executor&) = delete;
+  upstream_executor& operator=(const upstream_executor&) = delete;
+
+  /// The target announced itself. Announcements of an older start, late ones, and those of another
+  /// service are ignored.
+  void announced(const adapter::target_announcement& value);
+  /// The target says that it leaves for good.
+  void farewell(const std::string& instance);
+  /// A health check answered for this identity before the first announcement.
+  void identified(const std::string& instance);
+  bool announced_once() const { return !instance_.empty(); }
+
+  /// Runs the call or queues it. The completion comes exactly once unless the call is cancelled,
+  /// possibly before this returns.
+  call_id submit(upstream_call call, completion done);
+  /// The caller has left. A queued call is dropped; a running idempotent one is broken off; a
+  /// running call that may run only once goes on.
+  void cancel(call_id id);
+  /// Checks time-outs; called at a short interval.
+  void tick();
+
+  fleet::target_status status() const;
+  target_state state() const { return state_; }
+  std::size_t in_flight() const { return running_.size(); }
+  std::size_t queued() const { return queue_.size(); }
+  traffic::call_observer& observer() { return observer_; }
+  /// Fingerprints that were under way when the target died, since the last call.
+  std::vector<id128> take_crash_suspects();
+
+ private:
+  struct running_call;
+  struct connection;
+  struct queued_call {
+    call_id id = 0;
+    upstream_call call;
+    completion done;
+    time_point queued{};
+    time_point give_up{};
+  };
+  /// Calls of targets first, since work was spent on them; then by priority and arrival.
+  using queue_key = std::tuple<bool, unsigned, std::uint64_t>;
+
+  std::size_t limit() const;
+  duration expected_wait(const queue_key& before) const;
+  void start(queued_call call);
+  void start_queued();
+  void refuse(queued_call& call, const std::string& reason, bool reached, duration retry_after);
+  void send(connection& to, queued_call call);
+  void on_data(std::uint64_t connection_id);
+  void on_closed(std::uint64_t connection_id, event::close_reason reason);
+  void complete(connection& from);
+  void finish(connection& from, fleet::answer_frame result);
+  void drop_connection(std::uint64_t id, bool abort);
+  void target_lost(const std::string& why);
+  void set_state(target_state state, const std::string& why);
+  void check_target();
+  fleet::answer_frame make_answer(fleet::call_result result, std::string reason,
+                                  bool reached) const;
+
+  event::loop& loop_;
+  executor_options options_;
+  event_log& log_;
+  std::function<void()> state_changed_;
+
+  target_state state_ = target_state::unknown;
+  std::string instance_;
+  unix_milliseconds started_ = 0;
+  std::uint64_t sequence_ = 0;
+  std::uint32_t slots_ = 0;
+  time_point leaving_since_{};
+  time_point warm_at_{};
+
+  std::uint64_t next_id_ = 1;
+  std::map<queue_key, queued_call> queue_;
+  std::unordered_map<call_id, queue_key> queue_index_;
+  std::unordered_map<std::uint64_t, std::unique_ptr<connection>> connections_;
+  /// Idle connections, the most recently used last.
+  std::vector<std::uint64_t> idle_;
+  /// Connection of each call under way.
+  std::unordered_map<call_id, std::uint64_t> running_;
+  time_point last_sign_of_life_{};
+  std::unique_ptr<event::stream> check_;
+  time_point check_started_{};
+  /// Mean time for which a request holds a slot.
+  double mean_held_s_ = 0.05;
+  traffic::call_observer observer_;
+  std::vector<id128> crash_suspects_;
+};
+
+} // namespace damaskledge::sidecar
--- /dev/null
+++ b/source/traffic/account_rates.cpp
@@ -0,0 +1,152 @@
+#include <algorithm>
+#include <cmath>
+
+#include "traffic/traffic.h"
+
+namespace damaskledge::traffic {
+
+namespace {
+
+/// Time constant of the demand estimate, in seconds; a few intervals of the status messages.
+constexpr double demand_horizon_s = 1.0;
+/// Admissions of a silent node are assumed to go on at its last rate for this long.
+constexpr double assume_limit_s = 3.0;
+/// Below this part of the burst a node spends only its share of the refill.
+constexpr double shared_below = 0.3;
+/// Part of the refill that is spent while the bucket is overdrawn, so that it recovers.
+constexpr double overdrawn_refill = 0.7;
+/// A share holds at least one request, or a small account could never use it.
+constexpr double min_share_burst = 1.0;
+/// Most a share can hold, in seconds of its refill; it must not become a second burst.
+constexpr double share_burst_s = 0.25;
+
+double in_seconds(duration value) {
+  return std::chrono::duration<double>(value).count();
+}
+
+} // namespace
+
+void account_rates::advance_demand(time_point now, bucket& value) const {
+  const double elapsed = in_seconds(now - value.demand_updated);
+  if (elapsed < 0.05) {
+    return;
+  }
+  const double weight = 1 - std::exp(-elapsed / demand_horizon_s);
+  value.demand += (value.asked_since / elapsed - value.demand) * weight;
+  value.asked_since = 0;
+  value.demand_updated = now;
+}
+
+double account_rates::share(const bucket& value) const {
+  double others = 0;
+  for (const auto& [node, it] : value.remote) {
+    others += it.demand;
+  }
+  const double even = 1.0 / static_cast<double>(fleet_size_);
+  const double total = value.demand + others;
+  return total <= 0 ? even : value.demand / total;
+}
+
+account_rates::bucket& account_rates::advance(time_point now, const account& of) {
+  const double burst = std::max(1.0, of.burst);
+  auto [found, added] = buckets_.try_emplace(of.name);
+  bucket& value = found->second;
+  if (added || value.updated == time_point{}) {
+    value.level = start_full_ ? burst : 0;
+    value.updated = now;
+    value.demand_updated = now;
+  }
+  const double elapsed = in_seconds(now - value.updated);
+  value.updated = now;
+  value.level += of.rate * elapsed;
+  for (auto& [node, it] : value.remote) {
+    const double age = std::min(assume_limit_s, in_seconds(now - it.heard));
+    const double assumed = it.rate * age;
+    value.level -= assumed - it.assumed;
+    it.assumed = assumed;
+  }
+  value.level = std::min(value.level, burst);
+  advance_demand(now, value);
+  const double refill = of.rate * share(value) * (value.level < 0 ? overdrawn_refill : 1.0);
+  value.share_level = std::min(value.share_level + refill * elapsed,
+                               std::max(min_share_burst, refill * share_burst_s));
+  return value;
+}
+
+std::optional<milliseconds> account_rates::ask(time_point now, const account& of) {
+  if (of.rate <= 0) {
+    return std::nullopt;
+  }
+  bucket& value = advance(now, of);
+  value.asked_since += 1;
+  const double burst = std::max(1.0, of.burst);
+  const bool plenty = value.level >= std::max(1.0, burst * shared_below);
+  if (!plenty) {
+    if (value.share_level < 1) {
+      const double refill = std::max(0.1, of.rate * share(value));
+      return milliseconds(static_cast<std::int64_t>(1'000 * (1 - value.share_level) / refill) + 1);
+    }
+    value.share_level -= 1;
+  }
+  value.level -= 1;
+  ++value.admitted;
+  return std::nullopt;
+}
+
+void account_rates::give_back(const std::string& account) {
+  const auto found = buckets_.find(account);
+  if (found != buckets_.end() && found->second.admitted > 0) {
+    found->second.level += 1;
+    --found->second.admitted;
+  }
+}
+
+void account_rates::heard(time_point now, const std::string& node, std::uint64_t incarnation,
+                          const std::vector<account_usage>& usage) {
+  for (const auto& it : usage) {
+    bucket& value = buckets_[it.account];
+    auto [found, added] = value.remote.try_emplace(node);
+    remote_usage& remote = found->second;
+    if (!added && remote.incarnation == incarnation) {
+      const double admitted =
+          static_cast<double>(it.admitted) - static_cast<double>(remote.admitted);
+      const double elapsed = std::max(0.05, in_seconds(now - remote.heard));
+      value.level -= admitted - remote.assumed;
+      remote.rate = std::max(0.0, admitted / elapsed);
+    } else {
+      // What a new incarnation admitted before its first report is unknown to this node.
+      value.level -= added ? 0.0 : static_cast<double>(it.admitted);
+      remote.rate = 0;
+    }
+    remote.incarnation = incarnation;
+    remote.admitted = it.admitted;
+    remote.demand = it.demand;
+    remote.heard = now;
+    remote.assumed = 0;
+  }
+}
+
+void account_rates::forget_node(const std::string& node) {
+  for (auto& [name, it] : buckets_) {
+    it.remote.erase(node);
+  }
+}
+
+std::vector<account_usage> account_rates::changed(time_point now) {
+  constexpr double same_demand = 0.05;
+  std::vector<account_usage> result;
+  for (auto& [name, it] : buckets_) {
+    if (it.demand_updated == time_point{}) {
+      continue;
+    }
+    advance_demand(now, it);
+    if (it.admitted != it.told || std::abs(it.demand - it.told_demand) > same_demand) {
+      it.told = it.admitted;
+      it.told_demand = it.demand;
+      result.push_back({name, it.admitted, it.demand});
+    }
+  }
+  return result;
+}
+
+} // namespace damaskledge::traffic
--- /dev/null
+++ b/source/traffic/entry_admission.cpp
@@ -0,0 +1,198 @@
+#include <algorithm>
+
+#include "traffic/traffic.h"
+
+namespace damaskledge::traffic {
+
+namespace {
+
+/// Weight of the newest interval in a class's rate.
+constexpr double rate_smoothing = 0.4;
+/// Rates below this are dropped, so that classes that are gone leave the table.
+constexpr double min_rate = 0.01;
+
+/// Mean cost of each route over the reports of all nodes.
+std::map<std::string, route_cost> merge_costs(const std::vector<route_cost>& reports) {
+  std::map<std::string, route_cost> result;
+  for (const auto& it : reports) {
+    auto& merged = result[it.route];
+    merged.route = it.route;
+    merged.service = it.service;
+    merged.slot_seconds = (merged.slot_seconds * merged.runs + it.slot_seconds * it.runs) /
+                          std::max(1e-9, merged.runs + it.runs);
+    merged.runs += it.runs;
+  }
+  return result;
+}
+
+/// Mean calls of each pair of routes over the reports of all nodes.
+std::map<std::string, std::map<std::string, double>>
+merge_calls(const std::vector<call_ratio>& reports) {
+  std::map<std::string, std::map<std::string, std::pair<double, int>>> sums;
+  for (const auto& it : reports) {
+    auto& [calls, n] = sums[it.parent][it.child];
+    calls += it.calls;
+    ++n;
+  }
+  std::map<std::string, std::map<std::string, double>> result;
+  for (const auto& [parent, children] : sums) {
+    for (const auto& [child, sum] : children) {
+      result[parent][child] = sum.first / sum.second;
+    }
+  }
+  return result;
+}
+
+struct graph {
+  std::map<std::string, route_cost> costs;
+  std::map<std::string, std::map<std::string, double>> calls;
+
+  explicit graph(const load_picture& picture)
+      : costs(merge_costs(picture.costs)), calls(merge_calls(picture.calls)) {}
+
+  /// Each route is worked out once; a call back to a route that is being worked out is left out,
+  /// so that a cycle among learned calls ends.
+  const std::map<std::string, double>& needs(const std::string& route) {
+    auto [found, added] = known.try_emplace(route);
+    if (!added) {
+      return found->second;
+    }
+    std::map<std::string, double> result;
+    if (const auto cost = costs.find(route); cost != costs.end()) {
+      result[cost->second.service] += cost->second.slot_seconds;
+    }
+    if (const auto below = calls.find(route); below != calls.end()) {
+      for (const auto& [child, n] : below->second) {
+        for (const auto& [service, slot_seconds] : needs(child)) {
+          result[service] += n * slot_seconds;
+        }
+      }
+    }
+    return known[route] = std::move(result);
+  }
+
+  std::map<std::string, std::map<std::string, double>> known;
+};
+
+struct planned_class {
+  const class_demand* demand = nullptr;
+  std::map<std::string, double> needs;
+  double fraction = 1;
+};
+
+double offered(const std::vector<planned_class>& classes, const std::string& service) {
+  double total = 0;
+  for (const auto& it : classes) {
+    const auto found = it.needs.find(service);
+    total += found == it.needs.end() ? 0.0 : found->second * it.demand->rate * it.fraction;
+  }
+  return total;
+}
+
+/// Cuts classes of one priority alike until `excess` slots are saved or the floor is reached.
+/// @return what remains of the excess.
+double cut_priority(std::vector<planned_class>& classes, const std::string& service,
+                    unsigned priority, double excess, double floor) {
+  double possible = 0;
+  for (const auto& it : classes) {
+    const auto found = it.needs.find(service);
+    if (it.demand->kind.priority == priority && found != it.needs.end()) {
+      possible += found->second * it.demand->rate * std::max(0.0, it.fraction - floor);
+    }
+  }
+  if (possible <= 0) {
+    return excess;
+  }
+  const double part = std::min(1.0, excess / possible);
+  for (auto& it : classes) {
+    if (it.demand->kind.priority == priority && it.needs.count(service) != 0) {
+      it.fraction -= std::max(0.0, it.fraction - floor) * part;
+    }
+  }
+  return excess - possible * part;
+}
+
+} // namespace
+
+std::map<std::string, double> needs_of(const load_picture& picture, const std::string& route,
+                                       const std::string& service) {
+  graph calls(picture);
+  std::map<std::string, double> result = calls.needs(route);
+  // A request of a route that is moved to another service is expected to cost the same there.
+  if (const auto cost = calls.costs.find(route);
+      cost != calls.costs.end() && cost->second.service != service) {
+    result[cost->second.service] -= cost->second.slot_seconds;
+    result[service] += cost->second.slot_seconds;
+  }
+  return result;
+}
+
+admission_plan plan_admission(const load_picture& picture, const admission_options& options) {
+  graph calls(picture);
+  std::vector<planned_class> classes;
+  std::map<unsigned, bool, std::greater<>> priorities;
+  for (const auto& it : picture.demand) {
+    planned_class planned;
+    planned.demand = &it;
+    planned.needs = calls.needs(it.kind.route);
+    classes.push_back(std::move(planned));
+    priorities[it.kind.priority] = true;
+  }
+  for (const auto& [service, slots] : picture.capacity) {
+    double excess = offered(classes, service) - slots * options.utilisation;
+    for (const auto& [priority, present] : priorities) {
+      if (excess <= 0) {
+        break;
+      }
+      excess = cut_priority(classes, service, priority, excess, options.floor);
+    }
+  }
+  admission_plan plan;
+  for (const auto& it : classes) {
+    auto [found, added] = plan.try_emplace(it.demand->kind, it.fraction);
+    found->second = std::min(found->second, it.fraction);
+  }
+  return plan;
+}
+
+double entry_admission::fraction(const request_class& kind) const {
+  const auto found = plan_.find(kind);
+  return found == plan_.end() ? 1.0 : found->second;
+}
+
+bool entry_admission::admit(const request_class& kind) {
+  const double share = fraction(kind);
+  if (share >= 1) {
+    return true;
+  }
+  double& credit = credit_[kind];
+  credit += share;
+  if (credit < 1) {
+    return false;
+  }
+  credit -= 1;
+  return true;
+}
+
+const std::vector<class_demand>& demand_meter::end_interval(duration interval) {
+  const double length = std::max(0.001, std::chrono::duration<double>(interval).count());
+  for (const auto& [key, n] : counts_) {
+    rates_.try_emplace(key, 0.0);
+  }
+  demand_.clear();
+  for (auto it = rates_.begin(); it != rates_.end();) {
+    const auto counted = counts_.find(it->first);
+    const double rate = counted == counts_.end() ? 0.0 : counted->second / length;
+    it->second += (rate - it->second) * rate_smoothing;
+    if (it->second < min_rate) {
+      it = rates_.erase(it);
+      continue;
+    }
+    demand_.push_back({it->first.first, it->first.second, it->second});
+    ++it;
+  }
+  counts_.clear();
+  return demand_;
+}
+
+} // namespace damaskledge::traffic
--- /dev/null
+++ b/source/traffic/traffic.h
@@ -0,0 +1,382 @@
+/// @file
+/// What the operator wants of traffic, and the decisions that need no input or output: route
+/// selection, account rates over the fleet, retry budgets, the learned call graph and admission at
+/// the entry. Every function takes the time; none reads a clock.
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "common/common.h"
+
+namespace damaskledge::traffic {
+
+/// One part of a route's traffic.
+struct destination {
+  std::string service;
+  /// Share relative to the other destinations of the route.
+  double weight = 1;
+
+  bool operator==(const destination&) const = default;
+};
+
+struct route {
+  std::string name;
+  std::string host;
+  /// Begins and ends with a slash.
+  std::string path_prefix;
+  /// Requests may run more than once.
+  bool idempotent = false;
+  /// Anyone may use the route; no key is asked for.
+  bool open_to_all = false;
+  /// Rank of its requests; 0 is shed last.
+  unsigned priority = 0;
+  /// Time within which a response is worth most.
+  milliseconds objective{1'000};
+  /// Longest time that a caller is kept waiting.
+  milliseconds timeout{1'000};
+  /// Targets at which one request may run.
+  unsigned max_attempts = 1;
+  std::vector<destination> destinations;
+
+  bool operator==(const route&) const = default;
+};
+
+/// A client account and what its plan allows.
+struct account {
+  std::string name;
+  std::vector<std::string> keys;
+  /// Takes precedence over the route's priority.
+  std::optional<unsigned> priority;
+  /// Requests a second over the whole fleet; 0 is no limit.
+  double rate = 0;
+  /// Requests above the rate that may come at once.
+  double burst = 0;
+
+  bool operator==(const account&) const = default;
+};
+
+struct service {
+  std::string name;
+  std::string health_path;
+  std::size_t max_connections = 0;
+
+  bool operator==(const service&) const = default;
+};
+
+/// Bounds on what one caller may send.
+struct caller_limits {
+  std::size_t header_bytes = 16U * 1024U;
+  std::size_t body_bytes = 16U * 1024U * 1024U;
+  milliseconds header_timeout{3'000};
+  milliseconds idle_timeout{15'000};
+
+  bool operator==(const caller_limits&) const = default;
+};
+
+/// One version of the operator's configuration. Immutable; made by `configuration_builder`.
+class configuration {
+ public:
+  std::uint64_t version() const { return version_; }
+  const caller_limits& limits() const { return limits_; }
+  const std::vector<account>& accounts() const { return accounts_; }
+  const std::vector<service>& services() const { return services_; }
+  /// @return the route with the longest prefix of `path` among those of `host`, or null.
+  /// @param host without a port.
+  const route* find_route(std::string_view host, std::string_view path) const;
+  /// @return the account that holds the key, or null.
+  const account* find_account(std::string_view key) const;
+  const account* find_account_by_name(std::string_view name) const;
+  const service* find_service(std::string_view name) const;
+  bool has_accounts() const { return !accounts_.empty(); }
+
+ private:
+  friend class configuration_builder;
+  struct text_hash {
+    using is_transparent = void;
+    std::size_t operator()(std::string_view text) const { return hash64(text); }
+  };
+
+  std::uint64_t version_ = 0;
+  caller_limits limits_;
+  std::vector<service> services_;
+  std::vector<account> accounts_;
+  std::unordered_map<std::string, std::size_t, text_hash, std::equal_to<>> account_by_key_;
+  /// Routes of each host, longest prefix first.
+  std::unordered_map<std::string, std::vector<route>, text_hash, std::equal_to<>> routes_;
+};
+
+class configuration_builder {
+ public:
+  explicit configuration_builder(std::uint64_t version);
+  configuration_builder& limits(const caller_limits& value);
+  configuration_builder& add(route value);
+  configuration_builder& add(account value);
+  configuration_builder& add(service value);
+  std::shared_ptr<const configuration> build();
+
+ private:
+  std::shared_ptr<configuration> result_;
+};
+
+/// Deals a route's requests to its destinations in the proportions of their weights.
+class traffic_splitter {
+ public:
+  /// @return the service that takes the next request of the route.
+  const std::string& next(const route& value);
+
+ private:
+  /// Credit of each destination; the one with the most is next (smooth weighted round robin).
+  std::unordered_map<std::string, std::map<std::string, double>> credits_;
+};
+
+/// What one node tells the others about an account.
+struct account_usage {
+  std::string account;
+  /// Requests admitted since the node's start.
+  std::uint64_t admitted = 0;
+  /// Requests a second asked for, admitted or not.
+  double demand = 0;
+
+  bool operator==(const account_usage&) const = default;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(account, admitted, demand);
+  }
+};
+
+/// Holds accounts to their rates over the whole fleet without a coordinator. Each node follows one
+/// bucket for each account from its own and the reported admissions. While the bucket is full
+/// enough it admits freely; below that, a node spends only its share of the refill, which is its
+/// part of the demand. Shares of nodes that are not heard from stay reserved until they are
+/// forgotten, so that both sides of a partition together keep the rate.
+class account_rates {
+ public:
+  /// @param start_full buckets start full: the whole fleet starts for the first time. Otherwise
+  /// they start empty, since the burst may have been spent before a restart.
+  explicit account_rates(bool start_full) : start_full_(start_full) {}
+
+  /// Counts a request of the account and decides on it.
+  /// @return nothing when admitted, otherwise the time after which one may be admitted.
+  std::optional<milliseconds> ask(time_point now, const account& of);
+  /// Takes back an admission whose request was refused before it ran.
+  void give_back(const std::string& account);
+  /// Report of another node; counts restart with its incarnation.
+  void heard(time_point now, const std::string& node, std::uint64_t incarnation,
+             const std::vector<account_usage>& usage);
+  /// A node is known to be gone for good; its share is free.
+  void forget_node(const std::string& node);
+  /// @param nodes nodes of the fleet, this one included; the share before any demand is known.
+  void set_fleet_size(std::size_t nodes) { fleet_size_ = std::max<std::size_t>(1, nodes); }
+  /// @return accounts with demand since the last call, to be told to the others.
+  std::vector<account_usage> changed(time_point now);
+
+ private:
+  struct remote_usage {
+    std::uint64_t incarnation = 0;
+    std::uint64_t admitted = 0;
+    double rate = 0;
+    double demand = 0;
+    time_point heard{};
+    /// Admissions that were assumed since the report and are corrected by the next one.
+    double assumed = 0;
+  };
+  struct bucket {
+    double level = 0;
+    double share_level = 0;
+    time_point updated{};
+    std::uint64_t admitted = 0;
+    std::uint64_t told = 0;
+    double demand = 0;
+    double asked_since = 0;
+    time_point demand_updated{};
+    double told_demand = 0;
+    std::map<std::string, remote_usage> remote;
+  };
+
+  bucket& advance(time_point now, const account& of);
+  void advance_demand(time_point now, bucket& value) const;
+  double share(const bucket& value) const;
+
+  bool start_full_;
+  std::size_t fleet_size_ = 1;
+  std::unordered_map<std::string, bucket> buckets_;
+};
+
+/// Bounds the repeats that a node sends to each service by a part of the requests it sends there.
+/// Each node keeps its own part, so that no message is needed and the bound holds in partitions.
+class retry_budget {
+ public:
+  struct options {
+    /// Repeats allowed for each request.
+    double ratio = 0.1;
+    /// Repeats allowed besides, in one window.
+    double reserve = 2;
+    seconds window{10};
+  };
+  explicit retry_budget(options values) : options_(values) {}
+
+  void requested(time_point now, const std::string& service);
+  /// Takes one repeat from the budget.
+  /// @return false when there is none; the repeat must not be sent.
+  bool take(time_point now, const std::string& service);
+
+ private:
+  struct history {
+    std::deque<time_point> requests;
+    std::deque<time_point> repeats;
+  };
+  void prune(time_point now, history& value) const;
+
+  options options_;
+  std::unordered_map<std::string, history> services_;
+};
+
+/// Calls that one run of a route makes of another route, on average.
+struct call_ratio {
+  std::string parent;
+  std::string child;
+  double calls = 0;
+
+  bool operator==(const call_ratio&) const = default;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(parent, child, calls);
+  }
+};
+
+/// Mean time for which a run of a route holds a slot of its service.
+struct route_cost {
+  std::string route;
+  std::string service;
+  double slot_seconds = 0;
+  /// Runs behind the mean; the weight of this report.
+  double runs = 0;
+
+  bool operator==(const route_cost&) const = default;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(route, service, slot_seconds, runs);
+  }
+};
+
+/// Learns from one target which calls follow from runs of which route. The calls carry no mark of
+/// the run that made them, so their counts are explained by the counts of runs in each interval
+/// (non-negative least squares with forgetting).
+class call_observer {
+ public:
+  void run_started(const std::string& route) { interval_runs_[route] += 1; }
+  void call_made(const std::string& route) { interval_calls_[route] += 1; }
+  void run_ended(const std::string& route, const std::string& service, duration held);
+  /// Ends an interval and updates the estimates.
+  void end_interval();
+  std::vector<call_ratio> ratios() const;
+  std::vector<route_cost> costs() const;
+
+ private:
+  struct cost_sum {
+    std::string service;
+    double seconds = 0;
+    double runs = 0;
+  };
+  using pair = std::pair<std::string, std::string>;
+
+  std::map<std::string, double> interval_runs_;
+  std::map<std::string, double> interval_calls_;
+  /// Decayed sums of products of runs, and of runs with calls.
+  std::map<pair, double> runs_runs_;
+  std::map<pair, double> runs_calls_;
+  std::map<pair, double> estimates_;
+  std::map<std::string, cost_sum> costs_;
+};
+
+/// Requests of one kind as the entry sees them.
+struct request_class {
+  std::string route;
+  /// Effective priority: the account's or the route's.
+  unsigned priority = 0;
+
+  auto operator<=>(const request_class&) const = default;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(route, priority);
+  }
+};
+
+struct class_demand {
+  request_class kind;
+  /// Service at which its requests run.
+  std::string service;
+  /// Requests a second.
+  double rate = 0;
+
+  bool operator==(const class_demand&) const = default;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(kind, service, rate);
+  }
+};
+
+/// What admission at the entry decides on; gathered from all nodes.
+struct load_picture {
+  std::vector<class_demand> demand;
+  std::vector<call_ratio> calls;
+  std::vector<route_cost> costs;
+  /// Slots that each service can keep busy.
+  std::map<std::string, double> capacity;
+};
+
+/// Fraction of each class to admit.
+using admission_plan = std::map<request_class, double>;
+
+struct admission_options {
+  /// Part of a service's slots that demand may fill; the rest absorbs fluctuation.
+  double utilisation = 0.95;
+  /// No class is cut below this fraction, so that none is starved.
+  double floor = 0.35;
+};
+
+/// @return slot-seconds that one request of the class needs at each service, with all calls below.
+std::map<std::string, double> needs_of(const load_picture& picture, const std::string& route,
+                                       const std::string& service);
+/// Cuts the least urgent classes first until no service is offered more than it can run.
+admission_plan plan_admission(const load_picture& picture, const admission_options& options);
+
+/// Admits the planned fraction of each class evenly.
+class entry_admission {
+ public:
+  void set_plan(admission_plan plan) { plan_ = std::move(plan); }
+  /// @return false when the request must be refused.
+  bool admit(const request_class& kind);
+  double fraction(const request_class& kind) const;
+  const admission_plan& plan() const { return plan_; }
+
+ private:
+  admission_plan plan_;
+  std::map<request_class, double> credit_;
+};
+
+/// Offered requests a second of each class at this node.
+class demand_meter {
+ public:
+  void count(const request_class& kind, const std::string& service) { ++counts_[{kind, service}]; }
+  /// Ends an interval.
+  /// @return the smoothed rates.
+  const std::vector<class_demand>& end_interval(duration interval);
+
+ private:
+  std::map<std::pair<request_class, std::string>, double> counts_;
+  std::map<std::pair<request_class, std::string>, double> rates_;
+  std::vector<class_demand> demand_;
+};
+
+} // namespace damaskledge::traffic
