--- a/source/sidecar/agent.cpp
+++ b/source/sidecar/agent.cpp
@@ -26,9 +26,12 @@
 constexpr milliseconds readiness_delay{2'500};
 /// Time kept of the grace for the last answers to leave.
 constexpr milliseconds shutdown_margin{600};
-/// Part of the retry budget that nodes take from their own requests. The budgets of all nodes
-/// together stay below the fleet's, also when requests are counted at other times than repeats.
+/// Part of the fleet's retry budget that the nodes use together: requests are counted at other
+/// times than repeats, and nodes that are gone may have used theirs.
 constexpr double retry_part = 0.7;
+constexpr double retry_reserve_part = 0.5;
+/// A class's fraction is logged when it has changed by this much.
+constexpr double logged_fraction_change = 0.1;
 
 bool changed_much(const std::vector<traffic::class_demand>& before,
                   const std::vector<traffic::class_demand>& now) {
@@ -54,9 +57,10 @@
 agent::agent(event::loop& loop, const settings& values)
     : loop_(loop), settings_(values), incarnation_(random_id().low), log_(loop, values.name),
       rates_(values.first_start),
-      budget_({values.retry_ratio * retry_part, 1, values.retry_window}),
+      budget_({}),
       crashes_({}), writer_(loop, values.store_address), health_(loop, values.upstream_address),
       started_(loop.now()) {
+  set_retry_budget();
   fleet::network_options network;
   network.node = values.name;
   network.data_centre = values.data_centre;
@@ -433,7 +437,9 @@
       add(node.status);
     }
   }
-  admission_.set_plan(traffic::plan_admission(picture, traffic::admission_options{}));
+  auto plan = traffic::plan_admission(picture, traffic::admission_options{});
+  log_admission(plan);
+  admission_.set_plan(std::move(plan));
 }
 
 void agent::forget_lost_nodes() {
@@ -448,6 +454,42 @@
   }
   if (node_mirror_->synchronised()) {
     rates_.set_fleet_size(present);
+    nodes_present_ = present;
+    set_retry_budget();
+  }
+}
+
+void agent::set_retry_budget() {
+  traffic::retry_budget::options options;
+  options.ratio = settings_.retry_ratio * retry_part;
+  options.reserve =
+      settings_.retry_reserve * retry_reserve_part / static_cast<double>(nodes_present_);
+  options.window = settings_.retry_window;
+  budget_.set_options(options);
+}
+
+void agent::reload(const settings& values) {
+  settings_.drain_limit = values.drain_limit;
+  settings_.grace = values.grace;
+  settings_.retry_ratio = values.retry_ratio;
+  settings_.retry_reserve = values.retry_reserve;
+  settings_.retry_window = values.retry_window;
+  set_retry_budget();
+  const bool restart_needed = values != settings_;
+  log_.state(log_line("settings_reloaded").field("restart_needed", restart_needed ? 1 : 0));
+}
+
+void agent::log_admission(const traffic::admission_plan& plan) {
+  for (const auto& [kind, fraction] : plan) {
+    const double logged = logged_fractions_.try_emplace(kind, 1.0).first->second;
+    const bool back = fraction >= 1 && logged < 1;
+    if (back || std::abs(fraction - logged) >= logged_fraction_change) {
+      logged_fractions_[kind] = fraction;
+      log_.state(log_line("admission_changed")
+                     .field("route", kind.route)
+                     .field("priority", kind.priority)
+                     .field("percent", static_cast<std::int64_t>(fraction * 100)));
+    }
   }
 }
 
--- a/source/sidecar/agent.h
+++ b/source/sidecar/agent.h
@@ -27,6 +27,9 @@
   leaf::result<void> start();
   /// Begins an orderly shutdown; the loop stops when it is done.
   void shut_down();
+  /// Puts changed settings in force, but for addresses and names.
+  void reload(const settings& values);
+  event_log& log() { return log_; }
 
  private:
   void on_peer_call(std::uint64_t connection, fleet::call_frame call);
@@ -48,6 +51,8 @@
   fleet::status_frame make_status();
   void plan_admission();
   void forget_lost_nodes();
+  void set_retry_budget();
+  void log_admission(const traffic::admission_plan& plan);
   void fast_tick();
   void slow_tick();
   void check_shutdown();
@@ -62,6 +67,8 @@
   traffic::account_rates rates_;
   traffic::retry_budget budget_;
   traffic::entry_admission admission_;
+  /// Fractions as they were last logged.
+  traffic::admission_plan logged_fractions_;
   traffic::demand_meter demand_;
   admission::crash_table crashes_;
   std::vector<traffic::class_demand> own_demand_;
@@ -86,6 +93,7 @@
   /// Calls of other nodes under way, by connection and the id there.
   std::map<std::pair<std::uint64_t, std::uint64_t>, upstream_executor::call_id> peer_calls_;
   std::uint64_t intervals_ = 0;
+  std::size_t nodes_present_ = 1;
   time_point started_;
   bool leaving_ = false;
   time_point leaving_since_{};
--- a/source/sidecar/run.cpp
+++ b/source/sidecar/run.cpp
@@ -1,5 +1,6 @@
 #include <csignal>
-#include <cstring>
+#include <filesystem>
+#include <functional>
 
 #include <sys/signalfd.h>
 #include <unistd.h>
@@ -11,6 +12,9 @@
 
 namespace {
 
+/// Files that change without a signal are noticed within this time.
+constexpr milliseconds file_check_interval{1'000};
+
 /// Receives signals as events of the loop, so that no code runs in a handler.
 class signal_source : public event::io_handler {
  public:
@@ -47,13 +51,64 @@
   int fd_ = -1;
 };
 
+/// The settings file, which may change with or without a signal.
+class settings_file {
+ public:
+  settings_file(event::loop& loop, agent& node, std::string path)
+      : loop_(loop), node_(node), path_(std::move(path)), changed_(change_time()) {
+    check_later();
+  }
+
+  /// Reads the file and puts it in force if it is valid.
+  void read() {
+    leaf::try_handle_all(
+        [&]() -> leaf::result<void> {
+          BOOST_LEAF_AUTO(text, read_settings_file(path_));
+          BOOST_LEAF_AUTO(values, parse_settings(text, path_));
+          node_.reload(values);
+          return {};
+        },
+        [&](const parse_error& error) { reject(to_string(error)); },
+        [&](const environment_error& error) { reject(to_string(error)); },
+        [&] { reject("unknown error"); });
+  }
+
+ private:
+  void check_later() {
+    loop_.after(file_check_interval, [this] {
+      const auto changed = change_time();
+      if (changed != changed_) {
+        changed_ = changed;
+        read();
+      }
+      check_later();
+    });
+  }
+  std::filesystem::file_time_type change_time() const {
+    std::error_code ec;
+    const auto result = std::filesystem::last_write_time(path_, ec);
+    return ec ? std::filesystem::file_time_type{} : result;
+  }
+  void reject(const std::string& why) {
+    node_.log().state(log_line("settings_rejected").field("why", why));
+  }
+
+  event::loop& loop_;
+  agent& node_;
+  std::string path_;
+  std::filesystem::file_time_type changed_;
+};
+
 } // namespace
 
-leaf::result<void> run(const settings& initial, const std::string& /*path*/) {
+leaf::result<void> run(const settings& initial, const std::string& path) {
   event::loop loop;
   agent node(loop, initial);
+  settings_file file(loop, node, path);
   signal_source signals(loop, [&](int signal) {
-    if (signal != SIGHUP) {
+    if (signal == SIGHUP) {
+      file.read();
+    } else {
       node.shut_down();
     }
   });
--- a/source/sidecar/settings.cpp
+++ b/source/sidecar/settings.cpp
@@ -136,7 +136,6 @@
   reader.read("upstream_address", result.upstream_address);
   reader.read("store_address", result.store_address);
   reader.read("first_start", result.first_start);
-  reader.read("announce_interval_ms", result.announce_interval, max_ms);
   reader.read("drain_limit_ms", result.drain_limit, max_ms);
   reader.read("grace_s", result.grace, max_s);
   reader.read("retry_ratio", result.retry_ratio, 0, 1);
--- a/source/sidecar/sidecar.h
+++ b/source/sidecar/sidecar.h
@@ -31,8 +31,6 @@
   endpoint store_address;
   /// The whole fleet starts for the first time.
   bool first_start = false;
-  /// Interval at which targets announce themselves.
-  milliseconds announce_interval{1'500};
   /// A leaving target gets no request later than this after its announcement was acknowledged.
   milliseconds drain_limit{2'000};
   /// Time between SIGTERM and SIGKILL.
--- a/source/traffic/traffic.h
+++ b/source/traffic/traffic.h
@@ -230,6 +230,7 @@
     seconds window{10};
   };
   explicit retry_budget(options values) : options_(values) {}
+  void set_options(options values) { options_ = values; }
 
   void requested(time_point now, const std::string& service);
   /// Takes one repeat from the budget.
--- /dev/null
+++ b/tests/sidecar/agent_test.cpp
@@ -0,0 +1,305 @@
+#include <doctest/doctest.h>
+
+#include <nlohmann/json.hpp>
+
+#include "sidecar/agent.h"
+#include "sidecar_fixture.h"
+#include "store_stand_in.h"
+
+using namespace damaskledge;
+using nlohmann::json;
+
+namespace {
+
+constexpr std::uint16_t store_port = 17'440;
+constexpr std::uint16_t first_port = 17'450;
+constexpr std::uint16_t ports_per_vm = 8;
+
+/// One VM: a node and the target beside it.
+struct vm {
+  vm(event::loop& events, std::uint16_t number, const std::string& service)
+      : loop(events), base(static_cast<std::uint16_t>(first_port + number * ports_per_vm)),
+        target(loop, static_cast<std::uint16_t>(base + 4)) {
+    settings.name = "vm" + std::to_string(number);
+    settings.data_centre = "one";
+    settings.service = service;
+    settings.caller_address = {"127.0.0.1", base};
+    settings.ready_address = {"127.0.0.1", static_cast<std::uint16_t>(base + 1)};
+    settings.announce_address = {"127.0.0.1", static_cast<std::uint16_t>(base + 2)};
+    settings.peer_address = {"127.0.0.1", static_cast<std::uint16_t>(base + 3)};
+    settings.upstream_address = target.address;
+    settings.store_address = {"127.0.0.1", store_port};
+    settings.first_start = true;
+    settings.grace = seconds(3);
+    target.on_request = [this](sidecar::connection_id from, const http::request& it) {
+      if (it.target == "/up") {
+        target.respond(from, "HTTP/1.1 200 OK\r\nX-Instance-Id: i-" + settings.name + "\r\n", "");
+      } else {
+        served.push_back(it);
+        target.answer(from, it, 200, settings.name);
+      }
+    };
+    start();
+  }
+  void start() {
+    node = std::make_unique<sidecar::agent>(loop, settings);
+    started = static_cast<bool>(node->start());
+  }
+  void kill() {
+    node.reset();
+  }
+
+  event::loop& loop;
+  std::uint16_t base;
+  test::scripted_target target;
+  sidecar::settings settings;
+  std::unique_ptr<sidecar::agent> node;
+  bool started = false;
+  /// Requests that the target ran, but for health checks.
+  std::vector<http::request> served;
+};
+
+/// Two VMs of service `a`, two of service `b`, and the store.
+struct fleet_fixture {
+  fleet_fixture() {
+    for (std::uint16_t i = 0; i < 4; ++i) {
+      vms.push_back(std::make_unique<vm>(loop, i, i < 2 ? "a" : "b"));
+    }
+  }
+
+  static json configuration(const std::string& version) {
+    const auto rule = [](const std::string& name, const std::string& prefix, const char* kind,
+                         const std::string& service) {
+      return json{{"name", name}, {"kind", kind}, {"aim-ms", 500}, {"priority", 1},
+                  {"public", false}, {"match", {{"path-prefix", prefix}}},
+                  {"action", {{"service", service}, {"timeout-ms", 800}, {"max-attempts", 2}}}};
+    };
+    return {{"version", version},
+            {"limits", {{"max-header-bytes", 4096}, {"max-body-bytes", 65536},
+                        {"header-timeout-ms", 1000}, {"idle-timeout-ms", 5000}}},
+            {"tenants", json::array({{{"name", "t"}, {"api-keys", json::array({"secret-key"})}}})},
+            {"clusters", json::array({{{"name", "a"}, {"health-path", "/up"}},
+                                      {{"name", "b"}, {"health-path", "/up"}}})},
+            {"listeners", json::array({{{"host", "h"},
+                                        {"rules", json::array({rule("read", "/read/", "safe", "b"),
+                                                               rule("write", "/write/", "unsafe",
+                                                                    "b")})}}})}};
+  }
+  void configure(const std::string& version = "00000001") {
+    store.put("config", "main", configuration(version));
+  }
+  /// Waits until every node can serve both services.
+  bool settle() {
+    return test::run_until(loop, [&] { return call(0, "GET", "/read/x").status == 200 &&
+                                              call(1, "GET", "/read/x").status == 200; });
+  }
+
+  /// Sends one request to a VM's node and runs the loop until it is answered.
+  http::response call(std::size_t at, const std::string& method, const std::string& path,
+                      const std::string& key = "secret-key", std::uint16_t offset = 0,
+                      const std::string& body = "") {
+    event::stream stream(loop, {"127.0.0.1", static_cast<std::uint16_t>(vms[at]->base + offset)},
+                         event::stream_options{});
+    http::response_reader reader{http::message_limits{}};
+    reader.start(false);
+    bool closed = false;
+    stream.handle({{}, [&] { reader.feed(stream.input()); },
+                   [&](event::close_reason) { closed = true; }});
+    std::string text = method + ' ' + path + " HTTP/1.1\r\nHost: h:80\r\nX-Request-Id: r" +
+                       std::to_string(++requests) + "\r\nX-Deadline-Ms: 1500\r\nX-Tenant: forged\r\n";
+    if (!key.empty()) {
+      text += "X-Key: " + key + "\r\n";
+    }
+    text += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    stream.send(text);
+    test::run_until(loop, [&] {
+      return closed || reader.state() == http::read_state::complete;
+    });
+    return reader.state() == http::read_state::complete ? reader.message() : http::response{};
+  }
+  int ready(std::size_t at) { return call(at, "GET", "/ready", "", 1).status; }
+  int announce(std::size_t at, const std::string& state, std::uint64_t sequence) {
+    const json body{{"address", to_string(vms[at]->target.address)},
+                    {"born", 5},
+                    {"info", {{"service", vms[at]->settings.service}, {"slots", 4}}},
+                    {"status", {{"state", state}, {"sequence", sequence}}}};
+    return call(at, "POST", "/instances/i-" + vms[at]->settings.name + "/heartbeat", "", 2,
+                body.dump())
+        .status;
+  }
+  std::size_t served(std::size_t at) const { return vms[at]->served.size(); }
+
+  event::loop loop;
+  test::store_stand_in store{loop, {"127.0.0.1", store_port}};
+  std::vector<std::unique_ptr<vm>> vms;
+  int requests = 0;
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(fleet_fixture, "A node without a configuration is not ready and refuses truly") {
+  CHECK(ready(0) == 503);
+  const auto answer = call(0, "GET", "/read/x");
+  CHECK(answer.status == 503);
+  CHECK(answer.fields.find("Retry-After") != nullptr);
+  configure();
+  CHECK(test::run_until(loop, [&] { return ready(0) == 200; }));
+}
+
+TEST_CASE_FIXTURE(fleet_fixture, "A request crosses two nodes and its key does not") {
+  configure();
+  REQUIRE(settle());
+  const auto answer = call(0, "GET", "/read/x?q=1");
+  CHECK(answer.status == 200);
+  CHECK((answer.body == "vm2" || answer.body == "vm3"));
+  const auto& target = answer.body == "vm2" ? *vms[2] : *vms[3];
+  const auto& seen = target.served.back();
+  CHECK(seen.target == "/read/x?q=1");
+  CHECK(seen.fields.find("X-Key") == nullptr);
+  CHECK(*seen.fields.find("X-Tenant") == "t");
+  CHECK(*seen.fields.find("X-Caller-Service") == "a");
+  CHECK(std::stoi(*seen.fields.find("X-Deadline-Ms")) <= 800);
+  CHECK(store.count("damaskledge-nodes") == 4);
+}
+
+TEST_CASE_FIXTURE(fleet_fixture, "Unknown keys and routes are refused before anything runs") {
+  configure();
+  REQUIRE(settle());
+  const std::size_t before = served(2) + served(3);
+  CHECK(call(0, "GET", "/read/x", "wrong").status == 401);
+  CHECK(call(0, "GET", "/read/x", "").status == 401);
+  CHECK(call(0, "GET", "/none/x").status == 404);
+  CHECK(served(2) + served(3) == before);
+}
+
+TEST_CASE_FIXTURE(fleet_fixture, "A configuration is in force within the watch and never goes back") {
+  configure("00000005");
+  REQUIRE(settle());
+  auto newer = configuration("00000006");
+  newer["tenants"][0]["api-keys"] = json::array({"other-key"});
+  store.put("config", "main", newer);
+  CHECK(test::run_until(loop, [&] { return call(0, "GET", "/read/x").status == 401; }));
+  configure("00000004");
+  for (int i = 0; i < 20; ++i) {
+    loop.run_once(milliseconds(5));
+  }
+  CHECK(call(0, "GET", "/read/x").status == 401);
+  CHECK(call(0, "GET", "/read/x", "other-key").status == 200);
+}
+
+TEST_CASE_FIXTURE(fleet_fixture, "A store that forgot its history is listed again") {
+  configure("00000001");
+  REQUIRE(settle());
+  store.down = true;
+  store.put("config", "main", configuration("00000002"));
+  store.forget_history();
+  auto newer = configuration("00000003");
+  newer["tenants"][0]["api-keys"] = json::array({"other-key"});
+  store.put("config", "main", newer);
+  store.down = false;
+  CHECK(test::run_until(loop, [&] { return call(0, "GET", "/read/x", "other-key").status == 200; }));
+}
+
+TEST_CASE_FIXTURE(fleet_fixture, "A node that is restarted while the store is down learns from others") {
+  configure();
+  REQUIRE(settle());
+  store.down = true;
+  vms[0]->kill();
+  vms[0]->start();
+  CHECK(test::run_until(loop, [&] { return call(0, "GET", "/read/x").status == 200; }));
+}
+
+TEST_CASE_FIXTURE(fleet_fixture, "A write whose answer was lost leaves one object for each node") {
+  store.lose_write_answers = true;
+  configure();
+  REQUIRE(settle());
+  CHECK(store.count("damaskledge-nodes") == 4);
+}
+
+TEST_CASE_FIXTURE(fleet_fixture, "A request that may run once is not sent again after a lost answer") {
+  configure();
+  REQUIRE(settle());
+  int runs = 0;
+  for (std::size_t i : {2U, 3U}) {
+    vms[i]->target.on_request = [&runs, this, i](sidecar::connection_id from,
+                                                 const http::request&) {
+      ++runs;
+      vms[i]->target.abort(from);
+    };
+  }
+  const auto once = call(0, "POST", "/write/x", "secret-key", 0, "body");
+  CHECK(once.status == 502);
+  CHECK(runs == 1);
+  for (int i = 0; i < 50; ++i) {
+    loop.run_once(milliseconds(5));
+  }
+  CHECK(runs == 1);
+}
+
+TEST_CASE_FIXTURE(fleet_fixture, "A repeatable request is served by another target") {
+  configure();
+  REQUIRE(settle());
+  int failed = 0;
+  vms[2]->target.on_request = [&](sidecar::connection_id from, const http::request&) {
+    ++failed;
+    vms[2]->target.abort(from);
+  };
+  for (int i = 0; i < 6; ++i) {
+    CHECK(call(0, "GET", "/read/x").status == 200);
+  }
+  CHECK(failed > 0);
+}
+
+TEST_CASE_FIXTURE(fleet_fixture, "A target that announced its leaving gets nothing more") {
+  configure();
+  REQUIRE(settle());
+  REQUIRE(announce(2, "ready", 1) == 200);
+  REQUIRE(announce(2, "draining", 2) == 200);
+  const std::size_t before = served(2);
+  for (int i = 0; i < 10; ++i) {
+    CHECK(call(0, "GET", "/read/x").status == 200);
+  }
+  CHECK(served(2) == before);
+}
+
+TEST_CASE_FIXTURE(fleet_fixture, "A malformed announcement gets a clear error and changes nothing") {
+  configure();
+  REQUIRE(settle());
+  CHECK(announce(2, "resting", 9) == 400);
+  CHECK(call(2, "POST", "/instances/i-vm2/other", "", 2).status == 404);
+  CHECK(announce(2, "ready", 3) == 200);
+}
+
+TEST_CASE_FIXTURE(fleet_fixture, "No answer by the route's timeout is 504 at once and stops the work") {
+  configure();
+  REQUIRE(settle());
+  for (std::size_t i : {2U, 3U}) {
+    vms[i]->target.on_request = [](sidecar::connection_id, const http::request&) {};
+  }
+  const auto begin = clock_type::now();
+  CHECK(call(0, "GET", "/read/x").status == 504);
+  const auto taken = clock_type::now() - begin;
+  CHECK(taken >= milliseconds(790));
+  CHECK(taken < milliseconds(1'000));
+  CHECK(test::run_until(loop, [&] {
+    return vms[2]->target.callers_gone + vms[3]->target.callers_gone >= 1;
+  }));
+}
+
+TEST_CASE_FIXTURE(fleet_fixture, "A node that shuts down is not ready and finishes what it has") {
+  configure();
+  REQUIRE(settle());
+  vms[0]->node->shut_down();
+  CHECK(ready(0) == 503);
+  const auto answer = call(0, "GET", "/read/x");
+  CHECK(answer.status == 200);
+  CHECK_FALSE(answer.keep_alive);
+}
+
+TEST_CASE_FIXTURE(fleet_fixture, "Malformed requests get a clear error and end their connection") {
+  configure();
+  REQUIRE(settle());
+  CHECK(call(0, "GET", "/read/x\r\nContent-Length: 5\r\nTransfer-Encoding: chunked").status == 400);
+  CHECK(call(0, "GET", "/read/" + std::string(5'000, 'x')).status == 431);
+  CHECK(call(0, "POST", "/write/x", "secret-key", 0, std::string(70'000, 'b')).status == 413);
+}
--- a/tests/sidecar/sidecar_fixture.h
+++ b/tests/sidecar/sidecar_fixture.h
@@ -64,6 +64,7 @@
                    }).value();
   }
   /// Refuses connections from now on.
+  void abort(sidecar::connection_id from) { service->abort(from); }
   void stop() {
     service.reset();
     loop.defer([old = std::shared_ptr<event::listener>(std::move(raw_listener))] {});
--- /dev/null
+++ b/tests/sidecar/store_stand_in.h
@@ -0,0 +1,163 @@
+/// @file
+/// Stand-in for the platform's store, by its published protocol: objects by kind and name, lists,
+/// conditional updates and watches. It runs on the loop of the test.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+#include "http/http.h"
+#include "sidecar/http_service.h"
+
+namespace damaskledge::test {
+
+class store_stand_in {
+ public:
+  store_stand_in(event::loop& loop, const endpoint& at)
+      : loop_(loop), service_(loop, {[this](auto from, auto& it) { handle(from, it); },
+                                     [this](auto from) { std::erase_if(watches_, [&](auto& it) {
+                                       return it.from == from;
+                                     }); }}) {
+    listening = static_cast<bool>(service_.listen(at));
+  }
+
+  /// Writes an object as the operator does.
+  void put(const std::string& kind, const std::string& name, const nlohmann::json& spec) {
+    auto& object = objects_[{kind, name}];
+    object.revision = ++revision_;
+    object.spec = spec;
+    changes_.push_back({revision_, kind, name});
+    answer_watches();
+  }
+  /// Events before now are no longer known.
+  void forget_history() { history_start_ = revision_ + 1; }
+  std::size_t count(const std::string& kind) const {
+    std::size_t n = 0;
+    for (const auto& [key, it] : objects_) {
+      n += key.first == kind ? 1 : 0;
+    }
+    return n;
+  }
+
+  bool listening = false;
+  int calls = 0;
+  /// Calls are answered 503 without effect.
+  bool down = false;
+  /// Writes take effect and are not answered.
+  bool lose_write_answers = false;
+
+ private:
+  struct object {
+    std::uint64_t revision = 0;
+    nlohmann::json spec;
+  };
+  struct change {
+    std::uint64_t revision = 0;
+    std::string kind;
+    std::string name;
+  };
+  struct waiting_watch {
+    sidecar::connection_id from = 0;
+    std::string kind;
+    std::uint64_t revision = 0;
+  };
+
+  nlohmann::json to_json(const std::string& name, const object& value) const {
+    return {{"metadata", {{"name", name}, {"revision", value.revision}}}, {"spec", value.spec}};
+  }
+  void reply(sidecar::connection_id to, int status, const nlohmann::json& body) {
+    http::response answer;
+    answer.status = status;
+    answer.reason = http::reason_phrase(status);
+    service_.respond(to, http::serialize_head(answer), body.dump());
+  }
+  static std::uint64_t parameter(const std::string& target, const std::string& name) {
+    const auto at = target.find(name + "=");
+    return at == std::string::npos ? 0 : std::stoull(target.substr(at + name.size() + 1));
+  }
+  void handle(sidecar::connection_id from, const http::request& it) {
+    ++calls;
+    if (down) {
+      reply(from, 503, nlohmann::json::object());
+      return;
+    }
+    const std::string path = it.target.substr(9, it.target.find('?') - 9);
+    const std::string kind = path.substr(0, path.find('/'));
+    if (it.method == "GET" && it.target.find("watch=") != std::string::npos) {
+      const waiting_watch watch{from, kind, parameter(it.target, "watch")};
+      if (watch.revision + 1 < history_start_) {
+        reply(from, 410, nlohmann::json::object());
+      } else if (!answer(watch)) {
+        watches_.push_back(watch);
+        loop_.after(milliseconds(parameter(it.target, "wait-ms")), [this, from] { expire(from); });
+      }
+    } else if (it.method == "GET") {
+      auto items = nlohmann::json::array();
+      for (const auto& [key, value] : objects_) {
+        if (key.first == kind) {
+          items.push_back(to_json(key.second, value));
+        }
+      }
+      reply(from, 200, {{"items", items}, {"has-more", false}, {"at", revision_}});
+    } else {
+      write(from, it, kind);
+    }
+  }
+  void write(sidecar::connection_id from, const http::request& it, const std::string& kind) {
+    const auto body = nlohmann::json::parse(it.body);
+    const std::string name = body["metadata"]["name"];
+    const auto found = objects_.find({kind, name});
+    const bool exists = found != objects_.end();
+    const bool matches = it.method == "POST"
+                             ? !exists
+                             : exists && body["metadata"]["revision"] == found->second.revision;
+    if (!matches) {
+      reply(from, 409, exists ? to_json(name, found->second) : nlohmann::json::object());
+      return;
+    }
+    put(kind, name, body["spec"]);
+    if (lose_write_answers) {
+      service_.abort(from);
+    } else {
+      reply(from, 200, to_json(name, objects_[{kind, name}]));
+    }
+  }
+  bool answer(const waiting_watch& watch) {
+    auto events = nlohmann::json::array();
+    for (const auto& it : changes_) {
+      if (it.revision > watch.revision && it.kind == watch.kind) {
+        events.push_back({{"object", to_json(it.name, objects_[{it.kind, it.name}])},
+                          {"removed", false}});
+      }
+    }
+    if (events.empty()) {
+      return false;
+    }
+    reply(watch.from, 200, {{"events", events}, {"at", revision_}});
+    return true;
+  }
+  void answer_watches() {
+    std::erase_if(watches_, [&](const auto& it) { return answer(it); });
+  }
+  void expire(sidecar::connection_id from) {
+    const auto n = std::erase_if(watches_, [&](const auto& it) { return it.from == from; });
+    if (n > 0) {
+      reply(from, 200, {{"events", nlohmann::json::array()}, {"at", revision_}});
+    }
+  }
+
+  event::loop& loop_;
+  sidecar::http_service service_;
+  std::uint64_t revision_ = 10;
+  std::uint64_t history_start_ = 0;
+  std::map<std::pair<std::string, std::string>, object> objects_;
+  std::vector<change> changes_;
+  std::vector<waiting_watch> watches_;
+};
+
+} // namespace damaskledge::test
