Pass states between data centres by digests of two relays; wait longer in watches

Cause: on the grown archive each of 64 nodes told 42 others in other data centres its state four times a second; bytes between data centres cost most. The longer waits are not measured yet.

--- a/source/fleet/fleet.h
+++ b/source/fleet/fleet.h
@@ -163,6 +163,34 @@
   }
 };
 
+/// Load of one node, passed on by another.
+struct node_load {
+  std::string node;
+  std::uint64_t incarnation = 0;
+  load_frame load;
+
+  bool operator==(const node_load&) const = default;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(node, incarnation, load);
+  }
+};
+
+/// States of the nodes of one data centre, for another one. Links between data centres are billed
+/// by the byte, so a few nodes pass on the states of all.
+struct digest_frame {
+  /// The receiver passes the digest on to the nodes of its data centre.
+  bool pass_on = false;
+  std::vector<node_load> loads;
+  std::vector<status_frame> statuses;
+
+  bool operator==(const digest_frame&) const = default;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(pass_on, loads, statuses);
+  }
+};
+
 /// Asks for the configuration in force at the receiver.
 struct configuration_request {
   std::uint64_t known_version = 0;
@@ -186,8 +214,9 @@
   }
 };
 
-using frame = std::variant<call_frame, answer_frame, cancel_frame, status_frame, load_frame,
-                           configuration_request, configuration_frame, admission::crash_report>;
+using frame =
+    std::variant<call_frame, answer_frame, cancel_frame, status_frame, load_frame,
+                 configuration_request, configuration_frame, admission::crash_report, digest_frame>;
 
 /// Bytes before a frame's payload: its length, big-endian.
 constexpr std::size_t frame_header_bytes = 4;
@@ -219,16 +248,16 @@
   /// Calls sent since the node last told its load.
   std::uint32_t sent_since_report = 0;
   bool connected = false;
-  /// Answers stopped or the link broke; calls go elsewhere until then.
-  time_point avoid_until{};
 };
 
 struct network_options {
   std::string node;
   std::string data_centre;
   endpoint address;
-  /// A peer whose status is older than this gets no calls: three status intervals.
+  /// A peer whose state is older than this gets no calls: three intervals of its load messages.
   milliseconds silence_limit{1'000};
+  /// The same for peers of other data centres, whose state may lose a relay for about a second.
+  milliseconds far_silence_limit{3'000};
   /// Unacknowledged data for this long ends a link.
   milliseconds link_timeout{1'000};
   /// Pause before a link that failed is opened again.
@@ -244,7 +273,8 @@
   std::function<void(std::uint64_t connection)> on_caller_gone;
   std::function<void(const status_frame&)> on_status;
   /// The entry has the new load already.
-  std::function<void(const node_entry&, const load_frame&)> on_load;
+  /// @param near it came from the node itself, which is in this data centre.
+  std::function<void(const node_entry&, const load_frame&, bool near)> on_load;
   std::function<void(const admission::crash_report&)> on_crash_report;
   /// @return the text of the configuration in force, if it is newer than the given version.
   std::function<std::optional<configuration_frame>(std::uint64_t known)> on_configuration_request;
@@ -278,6 +308,14 @@
   void cancel(const std::string& node, std::uint64_t id);
   /// Answers a call that arrived; ignored when its connection is gone.
   void answer(std::uint64_t connection, const answer_frame& value);
+  /// Sends a frame to every connected node of this data centre.
+  void broadcast_near(const frame& value);
+  /// Sends a digest to one node of each other data centre, which passes it on.
+  /// @param rank 0 for the first relay of this data centre, 1 for the second; each uses another
+  /// node of the other data centre, so that one lost node does not stop the states of all.
+  void send_digest(digest_frame digest, std::size_t rank);
+  /// @return this node's place among the relays of its data centre, or nothing when it is none.
+  std::optional<std::size_t> relay_rank() const;
   /// Sends a frame to every node that is connected.
   void broadcast(const frame& value);
   /// Sends a frame to one node, if it is connected.
@@ -299,7 +337,9 @@
   void drop_inbound(std::uint64_t id);
   void handle(inbound_link& link, frame value);
   void handle_status(inbound_link& link, const status_frame& status);
-  void handle_load(const inbound_link& link, const load_frame& load);
+  void handle_load(const std::string& name, const load_frame& load);
+  void handle_digest(digest_frame digest);
+  void store_status(const status_frame& status);
 
   event::loop& loop_;
   network_options options_;
--- a/source/fleet/network.cpp
+++ b/source/fleet/network.cpp
@@ -7,6 +7,9 @@
 
 namespace {
 
+/// Nodes of a data centre that tell its states to the others.
+constexpr std::size_t relays = 2;
+
 std::int64_t microseconds_of(time_point value) {
   return std::chrono::duration_cast<std::chrono::microseconds>(value.time_since_epoch()).count();
 }
@@ -215,8 +218,9 @@
 }
 
 bool network::reachable(const node_entry& node) const {
-  return node.connected && !node.status.node.empty() &&
-         loop_.now() - node.heard < options_.silence_limit && loop_.now() >= node.avoid_until;
+  const bool near = node.data_centre == options_.data_centre;
+  const duration limit = near ? options_.silence_limit : options_.far_silence_limit;
+  return node.connected && !node.status.node.empty() && loop_.now() - node.heard < limit;
 }
 
 void network::accept(int fd) {
@@ -277,7 +281,9 @@
   } else if (const auto* status = std::get_if<status_frame>(&value)) {
     handle_status(link, *status);
   } else if (const auto* load = std::get_if<load_frame>(&value)) {
-    handle_load(link, *load);
+    handle_load(link.node, *load);
+  } else if (auto* digest = std::get_if<digest_frame>(&value)) {
+    handle_digest(std::move(*digest));
   } else if (const auto* report = std::get_if<admission::crash_report>(&value)) {
     callbacks_.on_crash_report(*report);
   } else if (const auto* asked = std::get_if<configuration_request>(&value)) {
@@ -294,6 +300,10 @@
     return;
   }
   link.node = status.node;
+  store_status(status);
+}
+
+void network::store_status(const status_frame& status) {
   // A node that was not found in the store yet makes itself known by its link.
   add_node(status.node, status.data_centre, status.address);
   const auto found = nodes_.find(status.node);
@@ -307,8 +317,8 @@
   callbacks_.on_status(status);
 }
 
-void network::handle_load(const inbound_link& link, const load_frame& load) {
-  const auto found = nodes_.find(link.node);
+void network::handle_load(const std::string& name, const load_frame& load) {
+  const auto found = nodes_.find(name);
   if (found == nodes_.end()) {
     return;
   }
@@ -324,7 +334,60 @@
   if (!load.demand.empty()) {
     node.status.demand = load.demand;
   }
-  callbacks_.on_load(node, load);
+  callbacks_.on_load(node, load, node.data_centre == options_.data_centre);
+}
+
+void network::handle_digest(digest_frame digest) {
+  for (const auto& it : digest.statuses) {
+    if (it.node != options_.node && !it.node.empty()) {
+      store_status(it);
+    }
+  }
+  for (const auto& it : digest.loads) {
+    const auto found = nodes_.find(it.node);
+    // The load of another start than the one known belongs to a status that comes later.
+    if (found != nodes_.end() && found->second.status.incarnation == it.incarnation) {
+      handle_load(it.node, it.load);
+    }
+  }
+  if (digest.pass_on) {
+    digest.pass_on = false;
+    broadcast_near(digest);
+  }
+}
+
+std::optional<std::size_t> network::relay_rank() const {
+  std::size_t rank = 0;
+  for (const auto& [name, node] : nodes_) {
+    if (name < options_.node && node.data_centre == options_.data_centre && reachable(node)) {
+      ++rank;
+    }
+  }
+  return rank < relays ? std::optional(rank) : std::nullopt;
+}
+
+void network::broadcast_near(const frame& value) {
+  const std::string bytes = encode(value);
+  for (auto& [name, link] : outbound_) {
+    const node_entry& node = nodes_.at(name);
+    if (node.connected && node.data_centre == options_.data_centre) {
+      link->connection->send(bytes);
+    }
+  }
+}
+
+void network::send_digest(digest_frame digest, std::size_t rank) {
+  digest.pass_on = true;
+  const std::string bytes = encode(std::move(digest));
+  std::map<std::string, std::vector<std::string>> connected;
+  for (const auto& [name, node] : nodes_) {
+    if (node.connected && node.data_centre != options_.data_centre) {
+      connected[node.data_centre].push_back(name);
+    }
+  }
+  for (const auto& [data_centre, names] : connected) {
+    outbound_.at(names[rank % names.size()])->connection->send(bytes);
+  }
 }
 
 } // namespace damaskledge::fleet
--- a/source/sidecar/agent.cpp
+++ b/source/sidecar/agent.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace damaskledge::sidecar {
 
@@ -16,9 +17,10 @@
 constexpr double min_demand_change = 0.5;
 /// Interval at which time-outs of the target's queue and connections are checked.
 constexpr milliseconds check_interval{10};
-/// A watch of the configuration waits this long; a hung one delays a version by no more.
-constexpr milliseconds configuration_wait{2'000};
-constexpr milliseconds node_wait{10'000};
+/// Waits of the watches. Each call is billed. TCP keep-alive finds a silent connection within 2 s,
+/// and another node tells a newer version within one load interval.
+constexpr milliseconds configuration_wait{10'000};
+constexpr milliseconds node_wait{25'000};
 constexpr milliseconds store_timeout{1'500};
 /// A node that is silent for this long is taken as gone for good; its shares are free then.
 constexpr seconds forget_after{20};
@@ -72,8 +74,8 @@
                               std::uint64_t call) { on_peer_cancel(from, call); },
           .on_caller_gone = [this](std::uint64_t from) { on_peer_gone(from); },
           .on_status = [this](const fleet::status_frame& status) { on_status(status); },
-          .on_load = [this](const fleet::node_entry& node,
-                            const fleet::load_frame& load) { on_load(node, load); },
+          .on_load = [this](const fleet::node_entry& node, const fleet::load_frame& load,
+                            bool near) { on_load(node, load, near); },
           .on_crash_report =
               [this](const admission::crash_report& report) {
                 crashes_.heard_report(loop_.now(), report);
@@ -362,8 +364,26 @@
   learn_version(status.node, status.configuration_version);
 }
 
-void agent::on_load(const fleet::node_entry& node, const fleet::load_frame& load) {
+void agent::on_load(const fleet::node_entry& node, const fleet::load_frame& load, bool near) {
   rates_.heard(loop_.now(), node.name, node.status.incarnation, load.accounts);
+  if (near) {
+    auto& pending = near_loads_[node.name];
+    auto accounts = std::move(pending.load.accounts);
+    auto demand = std::move(pending.load.demand);
+    pending = {node.name, node.status.incarnation, load};
+    if (pending.load.demand.empty()) {
+      pending.load.demand = std::move(demand);
+    }
+    // Uses are totals, so the newest of an account replaces an older one.
+    for (auto& it : accounts) {
+      const bool newer =
+          std::any_of(load.accounts.begin(), load.accounts.end(),
+                      [&](const auto& other) { return other.account == it.account; });
+      if (!newer) {
+        pending.load.accounts.push_back(std::move(it));
+      }
+    }
+  }
   learn_version(node.name, load.configuration_version);
 }
 
@@ -393,7 +413,7 @@
   nodes_->broadcast(make_status());
 }
 
-void agent::send_load() {
+fleet::load_frame agent::make_load() {
   fleet::load_frame load;
   load.configuration_version = configuration_ ? configuration_->version() : 0;
   load.leaving = leaving_;
@@ -407,7 +427,30 @@
     load.demand = own_demand_;
     told_demand_ = own_demand_;
   }
-  nodes_->broadcast(load);
+  return load;
+}
+
+void agent::relay_states(const fleet::load_frame& own, bool with_statuses) {
+  const auto loads = std::exchange(near_loads_, {});
+  const auto rank = nodes_->relay_rank();
+  if (!rank) {
+    return;
+  }
+  fleet::digest_frame digest;
+  digest.loads.push_back({settings_.name, incarnation_, own});
+  for (const auto& [name, it] : loads) {
+    digest.loads.push_back(it);
+  }
+  if (with_statuses) {
+    digest.statuses.push_back(make_status());
+    for (const auto& [name, node] : nodes_->nodes()) {
+      if (node.data_centre == settings_.data_centre && nodes_->reachable(node)) {
+        digest.statuses.push_back(node.status);
+        digest.statuses.back().accounts.clear();
+      }
+    }
+  }
+  nodes_->send_digest(std::move(digest), *rank);
 }
 
 void agent::send_crash_report() {
@@ -503,10 +546,13 @@
 void agent::slow_tick() {
   target_->observer().end_interval();
   own_demand_ = demand_.end_interval(load_interval);
-  send_load();
-  if (++intervals_ % status_every == 0) {
-    send_status();
+  const bool with_status = ++intervals_ % status_every == 0;
+  const auto load = make_load();
+  nodes_->broadcast_near(load);
+  if (with_status) {
+    nodes_->broadcast_near(make_status());
   }
+  relay_states(load, with_status);
   send_crash_report();
   plan_admission();
   forget_lost_nodes();
--- a/source/sidecar/agent.h
+++ b/source/sidecar/agent.h
@@ -36,7 +36,8 @@
   void on_peer_cancel(std::uint64_t connection, std::uint64_t call);
   void on_peer_gone(std::uint64_t connection);
   void on_status(const fleet::status_frame& status);
-  void on_load(const fleet::node_entry& node, const fleet::load_frame& load);
+  void on_load(const fleet::node_entry& node, const fleet::load_frame& load, bool near);
+  void relay_states(const fleet::load_frame& own, bool with_statuses);
   void learn_version(const std::string& node, std::uint64_t version);
   void on_announcement(connection_id from, http::request& message);
   void on_ready(connection_id from);
@@ -46,7 +47,7 @@
   void register_node();
   void identify_target();
   void send_status();
-  void send_load();
+  fleet::load_frame make_load();
   void send_crash_report();
   fleet::status_frame make_status();
   void plan_admission();
@@ -93,6 +94,8 @@
   /// Calls of other nodes under way, by connection and the id there.
   std::map<std::pair<std::uint64_t, std::uint64_t>, upstream_executor::call_id> peer_calls_;
   std::uint64_t intervals_ = 0;
+  /// Loads of this data centre's nodes since the last digest.
+  std::map<std::string, fleet::node_load> near_loads_;
   std::size_t nodes_present_ = 1;
   time_point started_;
   bool leaving_ = false;
--- a/source/sidecar/router.cpp
+++ b/source/sidecar/router.cpp
@@ -20,6 +20,11 @@
 constexpr milliseconds overload_retry_after{800};
 /// Wait told to a caller whose request has crashed several targets.
 constexpr milliseconds crash_retry_after{10'000};
+/// A refused request counts as returning when it comes again within this time: the longest wait
+/// told, and as much for the way.
+constexpr milliseconds return_window{2'000};
+/// Refused requests remembered at most; beyond it all are forgotten.
+constexpr std::size_t max_refused = 4'096;
 /// A request is not sent again with less time than this left.
 constexpr milliseconds min_time_to_repeat{20};
 
@@ -157,7 +162,8 @@
   }
   const traffic::request_class kind{it.route->name, it.priority};
   demand_.count(kind, it.service);
-  if (!admission_.admit(kind)) {
+  if (!admission_.admit(kind, returns(it.fingerprint))) {
+    refused_[it.fingerprint] = loop_.now() + return_window;
     if (it.account != nullptr) {
       rates_.give_back(it.account->name);
     }
@@ -167,6 +173,19 @@
   return true;
 }
 
+bool router::returns(const id128& fingerprint) {
+  if (refused_.size() >= max_refused) {
+    refused_.clear();
+  }
+  const auto found = refused_.find(fingerprint);
+  if (found == refused_.end()) {
+    return false;
+  }
+  const bool in_time = found->second >= loop_.now();
+  refused_.erase(found);
+  return in_time;
+}
+
 bool router::prepare(exchange& it, http::request& message) {
   auto& fields = message.fields;
   http::remove_connection_fields(fields);
--- a/source/sidecar/router.h
+++ b/source/sidecar/router.h
@@ -57,6 +57,7 @@
   bool authenticate(exchange& it, const http::request& message);
   bool read_deadline(exchange& it, const http::request& message);
   bool admit(exchange& it);
+  bool returns(const id128& fingerprint);
   bool prepare(exchange& it, http::request& message);
   void dispatch(exchange& it);
   std::optional<candidate> choose(const exchange& it);
@@ -82,6 +83,8 @@
   traffic::traffic_splitter splitter_;
   std::unordered_map<connection_id, std::unique_ptr<exchange>> exchanges_;
   std::uint64_t choices_ = 0;
+  /// Requests that admission refused, until they no longer count as returning.
+  std::unordered_map<id128, time_point, id128_hash> refused_;
 };
 
 } // namespace damaskledge::sidecar
--- a/source/traffic/account_rates.cpp
+++ b/source/traffic/account_rates.cpp
@@ -119,6 +119,10 @@
     bucket& value = buckets_[it.account];
     auto [found, added] = value.remote.try_emplace(node);
     remote_usage& remote = found->second;
+    if (!added && remote.incarnation == incarnation && it.admitted < remote.admitted) {
+      // An older report on a slower way.
+      continue;
+    }
     if (!added && remote.incarnation == incarnation) {
       const double admitted =
           static_cast<double>(it.admitted) - static_cast<double>(remote.admitted);
--- a/source/traffic/entry_admission.cpp
+++ b/source/traffic/entry_admission.cpp
@@ -8,6 +8,8 @@
 
 /// Weight of the newest interval in a class's rate.
 constexpr double rate_smoothing = 0.4;
+/// Requests of a class that may be admitted ahead because they came back after a refusal.
+constexpr double max_advance = 20;
 /// Rates below this are dropped, so that classes that are gone leave the table.
 constexpr double min_rate = 0.01;
 
@@ -160,14 +162,14 @@
   return found == plan_.end() ? 1.0 : found->second;
 }
 
-bool entry_admission::admit(const request_class& kind) {
+bool entry_admission::admit(const request_class& kind, bool returning) {
   const double share = fraction(kind);
   if (share >= 1) {
     return true;
   }
   double& credit = credit_[kind];
   credit += share;
-  if (credit < 1) {
+  if (credit < (returning ? -max_advance : 1.0)) {
     return false;
   }
   credit -= 1;
--- a/source/traffic/traffic.h
+++ b/source/traffic/traffic.h
@@ -362,8 +362,10 @@
 class entry_admission {
  public:
   void set_plan(admission_plan plan) { plan_ = std::move(plan); }
+  /// @param returning the request was refused before and came back as it was told. It is admitted
+  /// ahead of new ones, since refusing it again wastes its wait; the fraction holds all the same.
   /// @return false when the request must be refused.
-  bool admit(const request_class& kind);
+  bool admit(const request_class& kind, bool returning);
   double fraction(const request_class& kind) const;
   const admission_plan& plan() const { return plan_; }
 
