Find the routes that cause calls from how long their runs are under way

Cause: counts of starts an interval attributed about one deep call to each run of a route that makes none, so it was shed for a service that it does not use. Change: calls are explained by run-seconds in intervals of 50 ms, and routes without a significant part are left out.

--- a/source/sidecar/agent.cpp
+++ b/source/sidecar/agent.cpp
@@ -12,11 +12,15 @@
 constexpr milliseconds load_interval{250};
 /// Every n-th load message is a whole status; what it adds changes slowly.
 constexpr std::uint64_t status_every = 8;
+/// The call graph is worked out once in so many load messages; it costs about 1 ms.
+constexpr std::uint64_t learn_every = 4;
 /// Demand is told again when a class has changed by this part, and by this much a second.
 constexpr double demand_change = 0.2;
 constexpr double min_demand_change = 0.5;
 /// Interval at which time-outs of the target's queue and connections are checked.
 constexpr milliseconds check_interval{10};
+/// Calls of the target are counted in intervals of this many checks.
+constexpr std::uint64_t observe_every = 5;
 /// Waits of the watches. Each call is billed. TCP keep-alive finds a silent connection within 2 s,
 /// and another node tells a newer version within one load interval.
 constexpr milliseconds configuration_wait{10'000};
@@ -404,7 +408,7 @@
   status.leaving = leaving_;
   status.target = target_->status();
   status.demand = own_demand_;
-  status.calls = target_->observer().ratios();
+  status.calls = own_calls_;
   status.costs = target_->observer().costs();
   return status;
 }
@@ -536,6 +540,9 @@
 
 void agent::fast_tick() {
   target_->tick();
+  if (++ticks_ % observe_every == 0) {
+    target_->observer().end_interval(loop_.now());
+  }
   log_.flush();
   if (leaving_) {
     check_shutdown();
@@ -544,9 +551,11 @@
 }
 
 void agent::slow_tick() {
-  target_->observer().end_interval();
   own_demand_ = demand_.end_interval(load_interval);
   const bool with_status = ++intervals_ % status_every == 0;
+  if (intervals_ % learn_every == 0) {
+    own_calls_ = target_->observer().ratios();
+  }
   const auto load = make_load();
   nodes_->broadcast_near(load);
   if (with_status) {
--- a/source/sidecar/agent.h
+++ b/source/sidecar/agent.h
@@ -73,6 +73,7 @@
   traffic::demand_meter demand_;
   admission::crash_table crashes_;
   std::vector<traffic::class_demand> own_demand_;
+  std::vector<traffic::call_ratio> own_calls_;
   /// Demand as it was last told to the others.
   std::vector<traffic::class_demand> told_demand_;
   std::unique_ptr<fleet::network> nodes_;
@@ -93,6 +94,7 @@
   std::optional<adapter::stored_object> own_object_;
   /// Calls of other nodes under way, by connection and the id there.
   std::map<std::pair<std::uint64_t, std::uint64_t>, upstream_executor::call_id> peer_calls_;
+  std::uint64_t ticks_ = 0;
   std::uint64_t intervals_ = 0;
   /// Loads of this data centre's nodes since the last digest.
   std::map<std::string, fleet::node_load> near_loads_;
--- a/source/sidecar/upstream_executor.cpp
+++ b/source/sidecar/upstream_executor.cpp
@@ -274,7 +274,7 @@
   if (running_.size() == 1) {
     last_sign_of_life_ = loop_.now();
   }
-  observer_.run_started(call.call.route);
+  observer_.run_started(loop_.now(), call.call.route);
   crashes_.started(loop_.now(), call.call.fingerprint, instance_);
   to.instance = instance_;
   to.started = loop_.now();
@@ -361,11 +361,12 @@
   auto call = std::move(from.current);
   from.current = {};
   running_.erase(call.id);
+  observer_.run_ended(loop_.now(), call.call.route);
   from.reader.start(false);
   if (static_cast<call_result>(result.result) == call_result::answered) {
     crashes_.answered(loop_.now(), call.call.fingerprint, from.instance);
     mean_held_s_ += (std::chrono::duration<double>(held).count() - mean_held_s_) * held_smoothing;
-    observer_.run_ended(call.call.route, options_.service, held);
+    observer_.run_answered(call.call.route, options_.service, held);
   } else {
     // Has no effect on an attempt that was already recorded as broken.
     crashes_.abandoned(call.call.fingerprint, from.instance);
--- a/source/traffic/entry_admission.cpp
+++ b/source/traffic/entry_admission.cpp
@@ -8,6 +8,8 @@
 
 /// Weight of the newest interval in a class's rate.
 constexpr double rate_smoothing = 0.4;
+/// Mean ratios below this are taken as chance.
+constexpr double min_ratio = 0.2;
 /// Requests of a class that may be admitted ahead because they came back after a refusal.
 constexpr double max_advance = 20;
 /// Rates below this are dropped, so that classes that are gone leave the table.
@@ -39,7 +41,10 @@
   std::map<std::string, std::map<std::string, double>> result;
   for (const auto& [parent, children] : sums) {
     for (const auto& [child, sum] : children) {
-      result[parent][child] = sum.first / sum.second;
+      const double calls = sum.first / sum.second;
+      if (calls >= min_ratio) {
+        result[parent][child] = calls;
+      }
     }
   }
   return result;
--- a/source/traffic/traffic.h
+++ b/source/traffic/traffic.h
@@ -277,19 +277,30 @@
 };
 
 /// Learns from one target which calls follow from runs of which route. The calls carry no mark of
-/// the run that made them, so their counts are explained by the counts of runs in each interval
-/// (non-negative least squares with forgetting).
+/// the run that made them, so their number in each short interval is explained by how long runs of
+/// each route were under way in it (non-negative least squares with forgetting). A route that is
+/// under way by chance must not look like a cause, so routes without a significant part are left
+/// out.
 class call_observer {
  public:
-  void run_started(const std::string& route) { interval_runs_[route] += 1; }
+  /// A run begins or ends at the target, however it ends.
+  void run_started(time_point now, const std::string& route);
+  void run_ended(time_point now, const std::string& route);
+  /// A run was answered after holding a slot for this long.
+  void run_answered(const std::string& route, const std::string& service, duration held);
   void call_made(const std::string& route) { interval_calls_[route] += 1; }
-  void run_ended(const std::string& route, const std::string& service, duration held);
-  /// Ends an interval and updates the estimates.
-  void end_interval();
+  /// Ends an interval; call it every 50 ms.
+  void end_interval(time_point now);
   std::vector<call_ratio> ratios() const;
   std::vector<route_cost> costs() const;
 
  private:
+  struct running {
+    double runs = 0;
+    time_point updated{};
+    /// Run-seconds in this interval.
+    double exposure = 0;
+  };
   struct cost_sum {
     std::string service;
     double seconds = 0;
@@ -297,12 +308,24 @@
   };
   using pair = std::pair<std::string, std::string>;
 
-  std::map<std::string, double> interval_runs_;
+  /// Calls a second of a run, by parent, and what they leave unexplained.
+  struct fit {
+    std::map<std::string, double> rates;
+    double error = 0;
+  };
+
+  running& advance(time_point now, const std::string& route);
+  fit solve(const std::string& child, const std::vector<std::string>& parents) const;
+  /// Leaves out parents that explain no more than chance would.
+  fit explain(const std::string& child) const;
+
+  std::map<std::string, running> running_;
   std::map<std::string, double> interval_calls_;
-  /// Decayed sums of products of runs, and of runs with calls.
+  /// Decayed sums of products of run-seconds, and of run-seconds with calls.
   std::map<pair, double> runs_runs_;
   std::map<pair, double> runs_calls_;
-  std::map<pair, double> estimates_;
+  std::map<std::string, double> calls_calls_;
+  double intervals_ = 0;
   std::map<std::string, cost_sum> costs_;
 };
 
