--- a/tests/fleet/frames_test.cpp
+++ b/tests/fleet/frames_test.cpp
@@ -65,13 +65,15 @@
 
 /// A node's network with records of what arrives.
 struct peer {
-  explicit peer(event::loop& loop, const std::string& name, std::uint16_t port)
-      : links(loop, options_of(name, port), callbacks()) {}
+  explicit peer(event::loop& loop, const std::string& name, std::uint16_t port,
+                const std::string& data_centre = "one")
+      : links(loop, options_of(name, port, data_centre), callbacks()) {}
 
-  static fleet::network_options options_of(const std::string& name, std::uint16_t port) {
+  static fleet::network_options options_of(const std::string& name, std::uint16_t port,
+                                           const std::string& data_centre) {
     fleet::network_options options;
     options.node = name;
-    options.data_centre = "one";
+    options.data_centre = data_centre;
     options.address = {"127.0.0.1", port};
     return options;
   }
@@ -84,7 +86,9 @@
     events.on_cancel = [this](std::uint64_t, std::uint64_t id) { cancelled.push_back(id); };
     events.on_caller_gone = [this](std::uint64_t) { ++callers_gone; };
     events.on_status = [](const fleet::status_frame&) {};
-    events.on_load = [](const fleet::node_entry&, const fleet::load_frame&, bool) {};
+    events.on_load = [this](const fleet::node_entry& node, const fleet::load_frame&, bool) {
+      loads.push_back(node.name);
+    };
     events.on_crash_report = [](const admission::crash_report&) {};
     events.on_configuration_request = [](std::uint64_t) { return std::nullopt; };
     events.on_configuration = [](const fleet::configuration_frame&) {};
@@ -96,6 +100,8 @@
   std::vector<fleet::call_frame> calls;
   std::vector<std::uint64_t> cancelled;
   int callers_gone = 0;
+  /// Nodes whose load arrived.
+  std::vector<std::string> loads;
   fleet::network links;
 };
 
@@ -158,3 +164,65 @@
   CHECK(answers == 0);
   CHECK(two.cancelled.front() == *id);
 }
+
+TEST_CASE("A digest reaches every node of the other data centre through one of them") {
+  event::loop loop;
+  peer near(loop, "a1", first_port, "one");
+  peer first(loop, "b1", second_port, "two");
+  peer second(loop, "b2", second_port + 1, "two");
+  std::vector<peer*> all{&near, &first, &second};
+  for (auto* it : all) {
+    REQUIRE(it->links.listen());
+  }
+  const auto status_of = [](const std::string& name, const std::string& data_centre,
+                            std::uint16_t port) {
+    fleet::status_frame status;
+    status.node = name;
+    status.data_centre = data_centre;
+    status.address = {"127.0.0.1", port};
+    status.incarnation = 5;
+    return status;
+  };
+  near.links.add_node("b1", "two", {"127.0.0.1", second_port});
+  near.links.add_node("b2", "two", {"127.0.0.1", second_port + 1});
+  first.links.add_node("b2", "two", {"127.0.0.1", second_port + 1});
+  REQUIRE(run_until(loop, [&] {
+    return near.links.nodes().at("b1").connected && near.links.nodes().at("b2").connected &&
+           first.links.nodes().at("b2").connected;
+  }));
+  near.links.broadcast(status_of("a1", "one", first_port));
+  REQUIRE(run_until(loop, [&] {
+    return second.links.nodes().count("a1") == 1 && first.links.nodes().count("a1") == 1;
+  }));
+  fleet::digest_frame digest;
+  digest.loads.push_back({"a1", 5, {}});
+  near.links.send_digest(digest, 0);
+  REQUIRE(run_until(loop, [&] { return !second.loads.empty(); }));
+  CHECK(first.loads == std::vector<std::string>{"a1"});
+  CHECK(second.loads == std::vector<std::string>{"a1"});
+  CHECK(near.loads.empty());
+}
+
+TEST_CASE("The load of another start of a node is not taken for the one that is known") {
+  event::loop loop;
+  peer near(loop, "a1", first_port, "one");
+  peer other(loop, "b1", second_port, "two");
+  REQUIRE(near.links.listen());
+  REQUIRE(other.links.listen());
+  near.links.add_node("b1", "two", {"127.0.0.1", second_port});
+  REQUIRE(run_until(loop, [&] { return near.links.nodes().at("b1").connected; }));
+  fleet::status_frame status;
+  status.node = "a1";
+  status.data_centre = "one";
+  status.address = {"127.0.0.1", first_port};
+  status.incarnation = 5;
+  near.links.broadcast(status);
+  fleet::digest_frame digest;
+  digest.loads.push_back({"a1", 4, {}});
+  near.links.send_digest(digest, 1);
+  REQUIRE(run_until(loop, [&] { return other.links.nodes().count("a1") == 1; }));
+  for (int i = 0; i < 10; ++i) {
+    loop.run_once(milliseconds(2));
+  }
+  CHECK(other.loads.empty());
+}
