Lower the planned capacity while a queue overflows; cut by the route's priority too

Change: the node of a target tells less capacity while its queue overflows, calls of targets wait 0.35 of the objective at most, and among classes of one effective priority those of the less urgent route are cut first.

--- a/source/sidecar/agent.cpp
+++ b/source/sidecar/agent.cpp
@@ -424,6 +424,7 @@
   const auto target = target_->status();
   load.ready = target.ready;
   load.slots = target.slots;
+  load.capacity = target.capacity;
   load.in_flight = target.in_flight;
   load.queued = target.queued;
   load.accounts = rates_.changed(loop_.now());
@@ -473,7 +474,7 @@
     picture.calls.insert(picture.calls.end(), status.calls.begin(), status.calls.end());
     picture.costs.insert(picture.costs.end(), status.costs.begin(), status.costs.end());
     if (status.target.ready) {
-      picture.capacity[status.target.service] += status.target.slots;
+      picture.capacity[status.target.service] += status.target.capacity;
     }
   };
   add(make_status());
@@ -562,6 +563,7 @@
     nodes_->broadcast_near(make_status());
   }
   relay_states(load, with_status);
+  target_->end_interval();
   send_crash_report();
   plan_admission();
   forget_lost_nodes();
--- a/source/sidecar/router.cpp
+++ b/source/sidecar/router.cpp
@@ -160,7 +160,7 @@
       return false;
     }
   }
-  const traffic::request_class kind{it.route->name, it.priority};
+  const traffic::request_class kind{it.route->name, it.priority, it.route->priority};
   demand_.count(kind, it.service);
   if (!admission_.admit(kind, returns(it.fingerprint))) {
     refused_[it.fingerprint] = loop_.now() + return_window;
--- a/source/sidecar/upstream_executor.h
+++ b/source/sidecar/upstream_executor.h
@@ -55,7 +55,7 @@
   /// Longest wait in the queue as a part of the objective, for requests of callers.
   double caller_wait = 0.25;
   /// The same for calls of targets: refusing one wastes the work of its whole request.
-  double inner_wait = 1.0;
+  double inner_wait = 0.35;
   /// A leaving target gets no queued request later than this after its announcement.
   milliseconds drain_limit{2'000};
 };
@@ -103,6 +103,9 @@
   void cancel(call_id id);
   /// Checks time-outs; called at a short interval.
   void tick();
+  /// Adapts the capacity that admission plans with to the refusals of the last interval; called
+  /// every 250 ms.
+  void end_interval();
 
   fleet::target_status status() const;
   target_state state() const { return state_; }
@@ -168,6 +171,11 @@
   /// Mean time for which a request holds a slot.
   double mean_held_s_ = 0.05;
   traffic::call_observer observer_;
+  /// Calls in this interval, and those that the queue refused.
+  std::uint64_t arrived_ = 0;
+  std::uint64_t overflowed_ = 0;
+  /// Demand on the target, relative to what admission has planned.
+  double pressure_ = 1;
 };
 
 } // namespace damaskledge::sidecar
--- a/source/traffic/entry_admission.cpp
+++ b/source/traffic/entry_admission.cpp
@@ -1,4 +1,6 @@
 #include <algorithm>
+#include <functional>
+#include <set>
 
 #include "traffic/traffic.h"
 
@@ -96,14 +98,21 @@
   return total;
 }
 
-/// Cuts classes of one priority alike until `excess` slots are saved or the floor is reached.
+/// Urgency of a class: its effective priority, then its route's.
+using urgency = std::pair<unsigned, unsigned>;
+
+urgency urgency_of(const request_class& kind) {
+  return {kind.priority, kind.route_priority};
+}
+
+/// Cuts classes of one urgency alike until `excess` slots are saved or the floor is reached.
 /// @return what remains of the excess.
-double cut_priority(std::vector<planned_class>& classes, const std::string& service,
-                    unsigned priority, double excess, double floor) {
+double cut_classes(std::vector<planned_class>& classes, const std::string& service,
+                   const urgency& of, double excess, double floor) {
   double possible = 0;
   for (const auto& it : classes) {
     const auto found = it.needs.find(service);
-    if (it.demand->kind.priority == priority && found != it.needs.end()) {
+    if (urgency_of(it.demand->kind) == of && found != it.needs.end()) {
       possible += found->second * it.demand->rate * std::max(0.0, it.fraction - floor);
     }
   }
@@ -112,7 +121,7 @@
   }
   const double part = std::min(1.0, excess / possible);
   for (auto& it : classes) {
-    if (it.demand->kind.priority == priority && it.needs.count(service) != 0) {
+    if (urgency_of(it.demand->kind) == of && it.needs.count(service) != 0) {
       it.fraction -= std::max(0.0, it.fraction - floor) * part;
     }
   }
@@ -137,21 +146,21 @@
 admission_plan plan_admission(const load_picture& picture, const admission_options& options) {
   graph calls(picture);
   std::vector<planned_class> classes;
-  std::map<unsigned, bool, std::greater<>> priorities;
+  std::set<urgency, std::greater<>> order;
   for (const auto& it : picture.demand) {
     planned_class planned;
     planned.demand = &it;
     planned.needs = calls.needs(it.kind.route);
     classes.push_back(std::move(planned));
-    priorities[it.kind.priority] = true;
+    order.insert(urgency_of(it.kind));
   }
   for (const auto& [service, slots] : picture.capacity) {
     double excess = offered(classes, service) - slots * options.utilisation;
-    for (const auto& [priority, present] : priorities) {
+    for (const auto& next : order) {
       if (excess <= 0) {
         break;
       }
-      excess = cut_priority(classes, service, priority, excess, options.floor);
+      excess = cut_classes(classes, service, next, excess, options.floor);
     }
   }
   admission_plan plan;
--- a/source/traffic/traffic.h
+++ b/source/traffic/traffic.h
@@ -334,11 +334,13 @@
   std::string route;
   /// Effective priority: the account's or the route's.
   unsigned priority = 0;
+  /// Priority of the route alone; decides among classes of one effective priority.
+  unsigned route_priority = 0;
 
   auto operator<=>(const request_class&) const = default;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(route, priority);
+    archive(route, priority, route_priority);
   }
 };
 
--- a/tests/traffic/traffic_test.cpp
+++ b/tests/traffic/traffic_test.cpp
@@ -289,6 +289,14 @@
   CHECK(flood.at({"write", 0}) >= options.floor);
 }
 
+TEST_CASE("Among classes of one effective priority the route's priority decides") {
+  auto picture = chain_picture(40);
+  picture.demand = {{{"read", 1, 2}, "front", 40}, {{"write", 1, 0}, "front", 40}};
+  const auto plan = traffic::plan_admission(picture, traffic::admission_options{});
+  CHECK(plan.at({"read", 1, 2}) < 0.6);
+  CHECK(plan.at({"write", 1, 0}) == 1);
+}
+
 TEST_CASE("A cycle among learned calls ends") {
   auto picture = chain_picture(20);
   for (int i = 0; i < 8; ++i) {
