--- a/source/sidecar/upstream_executor.cpp
+++ b/source/sidecar/upstream_executor.cpp
@@ -18,9 +18,10 @@
 constexpr int max_stray_answers = 2;
 /// Silence is unusual after this many times the mean time of a request.
 constexpr double silence_factor = 3;
-/// Part of the calls that the queue may refuse before admission is told of less capacity.
+/// Part of the requests that the queue may refuse before admission is told of less capacity.
 constexpr double tolerated_overflow = 0.02;
-constexpr std::uint64_t min_arrivals = 5;
+/// Fewer requests than this in an interval say nothing.
+constexpr std::uint64_t min_arrivals = 3;
 /// Growth of the pressure in one interval of 250 ms at most, its decay, and its bound.
 constexpr double max_pressure_step = 0.25;
 constexpr double pressure_decay = 0.97;
@@ -195,7 +196,7 @@
            milliseconds(500));
     return id;
   }
-  ++arrived_;
+  ++overflow_of(queued.call).arrived;
   if (running_.size() < limit() && queue_.empty()) {
     start(std::move(queued));
     return id;
@@ -207,7 +208,7 @@
   allowed = std::min(allowed, left / 2);
   const duration wait = expected_wait(key);
   if (wait > allowed) {
-    ++overflowed_;
+    ++overflow_of(queued.call).refused;
     refuse(queued, "queue full", false, wait);
     return id;
   }
@@ -485,16 +486,21 @@
   });
 }
 
+double upstream_executor::overflow(const overflow_count& count) {
+  return count.arrived < min_arrivals
+             ? 0.0
+             : static_cast<double>(count.refused) / static_cast<double>(count.arrived);
+}
+
 void upstream_executor::end_interval() {
-  const double refused =
-      arrived_ == 0 ? 0.0 : static_cast<double>(overflowed_) / static_cast<double>(arrived_);
-  if (arrived_ >= min_arrivals && refused > tolerated_overflow) {
+  const double refused = std::max(overflow(callers_), overflow(inner_));
+  if (refused > tolerated_overflow) {
     pressure_ = std::min(max_pressure, pressure_ * (1 + std::min(refused, max_pressure_step)));
   } else {
     pressure_ = std::max(1.0, pressure_ * pressure_decay);
   }
-  arrived_ = 0;
-  overflowed_ = 0;
+  callers_ = {};
+  inner_ = {};
 }
 
 void upstream_executor::tick() {
@@ -506,7 +512,7 @@
     }
     auto expired = queue_.extract(it++);
     queue_index_.erase(expired.mapped().id);
-    ++overflowed_;
+    ++overflow_of(expired.mapped().call).refused;
     refuse(expired.mapped(), "waited too long", false, expected_wait(expired.key()));
   }
   std::vector<std::uint64_t> failed;
--- a/source/traffic/entry_admission.cpp
+++ b/source/traffic/entry_admission.cpp
@@ -128,6 +128,15 @@
   return excess - possible * part;
 }
 
+/// Multiplies the fractions of all classes that need the service.
+void scale_classes(std::vector<planned_class>& classes, const std::string& service, double factor) {
+  for (auto& it : classes) {
+    if (it.needs.count(service) != 0) {
+      it.fraction *= factor;
+    }
+  }
+}
+
 } // namespace
 
 std::map<std::string, double> needs_of(const load_picture& picture, const std::string& route,
@@ -162,6 +171,12 @@
       }
       excess = cut_classes(classes, service, next, excess, options.floor);
     }
+    if (excess > 0) {
+      // Even the floors ask for more than there is; a service that is kept overloaded serves
+      // nobody.
+      const double wanted = offered(classes, service);
+      scale_classes(classes, service, slots * options.utilisation / wanted);
+    }
   }
   admission_plan plan;
   for (const auto& it : classes) {
--- a/source/traffic/traffic.h
+++ b/source/traffic/traffic.h
@@ -373,7 +373,7 @@
 struct admission_options {
   /// Part of a service's slots that demand may fill; the rest absorbs fluctuation.
   double utilisation = 0.95;
-  /// No class is cut below this fraction, so that none is starved.
+  /// No class is cut below this fraction while others are served whole, so that none is starved.
   double floor = 0.35;
 };
 
