--- a/source/fleet/fleet.h
+++ b/source/fleet/fleet.h
@@ -106,15 +106,13 @@
   /// Takes new requests.
   bool ready = false;
   std::uint32_t slots = 0;
-  /// Slots that admission may plan with: fewer than there are while the queue overflows.
-  float capacity = 0;
   std::uint32_t in_flight = 0;
   std::uint32_t queued = 0;
 
   bool operator==(const target_status&) const = default;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(service, instance, ready, slots, capacity, in_flight, queued);
+    archive(service, instance, ready, slots, in_flight, queued);
   }
 };
 
@@ -126,7 +124,6 @@
   /// The target takes new requests.
   bool ready = false;
   std::uint32_t slots = 0;
-  float capacity = 0;
   std::uint32_t in_flight = 0;
   std::uint32_t queued = 0;
   /// Accounts whose use has changed.
@@ -137,8 +134,7 @@
   bool operator==(const load_frame&) const = default;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(configuration_version, leaving, ready, slots, capacity, in_flight, queued, accounts,
-            demand);
+    archive(configuration_version, leaving, ready, slots, in_flight, queued, accounts, demand);
   }
 };
 
--- a/source/fleet/network.cpp
+++ b/source/fleet/network.cpp
@@ -329,7 +329,6 @@
   node.status.leaving = load.leaving;
   node.status.target.ready = load.ready;
   node.status.target.slots = load.slots;
-  node.status.target.capacity = load.capacity;
   node.status.target.in_flight = load.in_flight;
   node.status.target.queued = load.queued;
   if (!load.demand.empty()) {
--- a/source/sidecar/agent.cpp
+++ b/source/sidecar/agent.cpp
@@ -424,7 +424,6 @@
   const auto target = target_->status();
   load.ready = target.ready;
   load.slots = target.slots;
-  load.capacity = target.capacity;
   load.in_flight = target.in_flight;
   load.queued = target.queued;
   load.accounts = rates_.changed(loop_.now());
@@ -474,7 +473,7 @@
     picture.calls.insert(picture.calls.end(), status.calls.begin(), status.calls.end());
     picture.costs.insert(picture.costs.end(), status.costs.begin(), status.costs.end());
     if (status.target.ready) {
-      picture.capacity[status.target.service] += status.target.capacity;
+      picture.capacity[status.target.service] += status.target.slots;
     }
   };
   add(make_status());
@@ -563,7 +562,6 @@
     nodes_->broadcast_near(make_status());
   }
   relay_states(load, with_status);
-  target_->end_interval();
   send_crash_report();
   plan_admission();
   forget_lost_nodes();
@@ -584,6 +582,10 @@
 
 void agent::check_shutdown() {
   const duration elapsed = loop_.now() - leaving_since_;
+  if (elapsed > settings_.grace / 2) {
+    // A request that came later could still be under way at the end of the grace.
+    router_->refuse_new_requests();
+  }
   const bool idle = router_->in_flight() == 0 && target_->in_flight() == 0;
   if ((idle && elapsed > readiness_delay) || elapsed > settings_.grace - shutdown_margin) {
     log_.state(
--- a/source/sidecar/router.cpp
+++ b/source/sidecar/router.cpp
@@ -14,7 +14,7 @@
 
 /// Wait told to a caller when nothing better is known.
 constexpr milliseconds usual_retry_after{300};
-/// Wait told when the node knows no configuration yet.
+/// Wait told when the node knows no configuration yet, or when it is about to end.
 constexpr milliseconds startup_retry_after{200};
 /// Wait told when admission at the entry refuses: overload lasts longer than a queue.
 constexpr milliseconds overload_retry_after{800};
@@ -95,6 +95,10 @@
   const std::string* id = message.fields.find(adapter::header::request_id);
   it.request_id = id == nullptr ? "" : *id;
   it.method = message.method;
+  if (closed_) {
+    refuse(it, 503, "shutting down", startup_retry_after);
+    return;
+  }
   if (!it.configuration) {
     refuse(it, 503, "no configuration yet", startup_retry_after);
     return;
--- a/source/sidecar/router.h
+++ b/source/sidecar/router.h
@@ -42,6 +42,8 @@
   void set_configuration(std::shared_ptr<const traffic::configuration> value) {
     configuration_ = std::move(value);
   }
+  /// Refuses every request from now on; those under way go on.
+  void refuse_new_requests() { closed_ = true; }
   void on_request(connection_id caller, http::request& message);
   void on_caller_gone(connection_id caller);
   std::size_t in_flight() const { return exchanges_.size(); }
@@ -82,6 +84,7 @@
   std::shared_ptr<const traffic::configuration> configuration_;
   traffic::traffic_splitter splitter_;
   std::unordered_map<connection_id, std::unique_ptr<exchange>> exchanges_;
+  bool closed_ = false;
   std::uint64_t choices_ = 0;
   /// Requests that admission refused, until they no longer count as returning.
   std::unordered_map<id128, time_point, id128_hash> refused_;
--- a/source/sidecar/upstream_executor.cpp
+++ b/source/sidecar/upstream_executor.cpp
@@ -18,14 +18,6 @@
 constexpr int max_stray_answers = 2;
 /// Silence is unusual after this many times the mean time of a request.
 constexpr double silence_factor = 3;
-/// Part of the requests that the queue may refuse before admission is told of less capacity.
-constexpr double tolerated_overflow = 0.02;
-/// Fewer requests than this in an interval say nothing.
-constexpr std::uint64_t min_arrivals = 3;
-/// Growth of the pressure in one interval of 250 ms at most, its decay, and its bound.
-constexpr double max_pressure_step = 0.25;
-constexpr double pressure_decay = 0.97;
-constexpr double max_pressure = 4;
 /// Shortest wait that a refused caller is told.
 constexpr milliseconds min_retry_after{50};
 /// While the target warms up, this part of its slots is used.
@@ -151,7 +143,6 @@
   result.instance = instance_;
   result.ready = state_ == target_state::ready;
   result.slots = static_cast<std::uint32_t>(limit());
-  result.capacity = static_cast<float>(static_cast<double>(limit()) / pressure_);
   result.in_flight = static_cast<std::uint32_t>(running_.size());
   result.queued = static_cast<std::uint32_t>(queue_.size());
   return result;
@@ -196,7 +187,6 @@
            milliseconds(500));
     return id;
   }
-  ++overflow_of(queued.call).arrived;
   if (running_.size() < limit() && queue_.empty()) {
     start(std::move(queued));
     return id;
@@ -208,7 +198,6 @@
   allowed = std::min(allowed, left / 2);
   const duration wait = expected_wait(key);
   if (wait > allowed) {
-    ++overflow_of(queued.call).refused;
     refuse(queued, "queue full", false, wait);
     return id;
   }
@@ -486,23 +475,6 @@
   });
 }
 
-double upstream_executor::overflow(const overflow_count& count) {
-  return count.arrived < min_arrivals
-             ? 0.0
-             : static_cast<double>(count.refused) / static_cast<double>(count.arrived);
-}
-
-void upstream_executor::end_interval() {
-  const double refused = std::max(overflow(callers_), overflow(inner_));
-  if (refused > tolerated_overflow) {
-    pressure_ = std::min(max_pressure, pressure_ * (1 + std::min(refused, max_pressure_step)));
-  } else {
-    pressure_ = std::max(1.0, pressure_ * pressure_decay);
-  }
-  callers_ = {};
-  inner_ = {};
-}
-
 void upstream_executor::tick() {
   const time_point now = loop_.now();
   for (auto it = queue_.begin(); it != queue_.end();) {
@@ -512,7 +484,6 @@
     }
     auto expired = queue_.extract(it++);
     queue_index_.erase(expired.mapped().id);
-    ++overflow_of(expired.mapped().call).refused;
     refuse(expired.mapped(), "waited too long", false, expected_wait(expired.key()));
   }
   std::vector<std::uint64_t> failed;
--- a/source/sidecar/upstream_executor.h
+++ b/source/sidecar/upstream_executor.h
@@ -103,9 +103,6 @@
   void cancel(call_id id);
   /// Checks time-outs; called at a short interval.
   void tick();
-  /// Adapts the capacity that admission plans with to the refusals of the last interval; called
-  /// every 250 ms.
-  void end_interval();
 
   fleet::target_status status() const;
   target_state state() const { return state_; }
@@ -123,11 +120,6 @@
     time_point queued{};
     time_point give_up{};
   };
-  /// Requests in this interval, and those that the queue refused.
-  struct overflow_count {
-    std::uint64_t arrived = 0;
-    std::uint64_t refused = 0;
-  };
   /// Calls of targets first, since work was spent on them; then by priority and arrival.
   using queue_key = std::tuple<bool, unsigned, std::uint64_t>;
 
@@ -145,8 +137,6 @@
   void target_lost(const std::string& why);
   void set_state(target_state state, const std::string& why);
   void check_target();
-  overflow_count& overflow_of(const upstream_call& call) { return call.inner ? inner_ : callers_; }
-  static double overflow(const overflow_count& count);
   fleet::answer_frame make_answer(fleet::call_result result, std::string reason,
                                   bool reached) const;
 
@@ -178,11 +168,6 @@
   /// Mean time for which a request holds a slot.
   double mean_held_s_ = 0.05;
   traffic::call_observer observer_;
-  /// Of callers and of targets apart: calls of targets go first and may push out the others.
-  overflow_count callers_;
-  overflow_count inner_;
-  /// Demand on the target, relative to what admission has planned.
-  double pressure_ = 1;
 };
 
 } // namespace damaskledge::sidecar
--- a/tests/sidecar/agent_test.cpp
+++ b/tests/sidecar/agent_test.cpp
@@ -305,6 +305,22 @@
   CHECK_FALSE(answer.keep_alive);
 }
 
+TEST_CASE_FIXTURE(fleet_fixture,
+                  "A request that comes late in a shutdown is refused, since it could not end") {
+  configure();
+  REQUIRE(settle());
+  vms[0]->node->shut_down();
+  const auto half_of_grace = clock_type::now() + milliseconds(1'600);
+  while (clock_type::now() < half_of_grace) {
+    loop.run_once(milliseconds(10));
+  }
+  const std::size_t before = served(2) + served(3);
+  const auto answer = call(0, "GET", "/read/x");
+  CHECK(answer.status == 503);
+  CHECK_FALSE(answer.keep_alive);
+  CHECK(served(2) + served(3) == before);
+}
+
 TEST_CASE_FIXTURE(fleet_fixture, "Malformed requests get a clear error and end their connection") {
   configure();
   REQUIRE(settle());
