--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -27,6 +27,9 @@
   document_contents:2500
   load_scenario:10000
   token_shares:700
+  http_message:6000
+  node_frame:8000
+  platform_bodies:4000
 )
 
 run_target() { # target:runs
--- a/tests/adapter/adapter_test.cpp
+++ b/tests/adapter/adapter_test.cpp
@@ -69,6 +69,7 @@
       {"\"0000001a\"", "\"1a\""},
       {"\"0000001a\"", "26"},
       {"\"h.example\"", "5"},
+      {"\"timeout-ms\": 1200", "\"timeout-ms\": 1e300"},
       {"\"timeout-ms\": 1000", "\"timeout-ms\": \"x\""},
       {"\"kind\": \"safe\"", "\"k\": 1"},
       {"\"api-keys\": []", "\"api-keys\": [1]"},
--- /dev/null
+++ b/tests/fuzz/platform_bodies.cpp
@@ -0,0 +1,31 @@
+// Bodies of the users' platform: configurations, announcements of targets, objects of the store.
+#include "fuzz/fuzz.h"
+#include "platform/adapter.h"
+
+using namespace damaskledge;
+
+void damaskledge::fuzz::run(const std::uint8_t* data, std::size_t size) {
+  const std::string input(fuzz::text_of(data, size));
+  const auto configuration =
+      fuzz::value_of([&] { return adapter::parse_configuration(input); },
+                     [](const parse_error& error) {
+                       fuzz::require(!error.remedy.empty(), "an error names the remedy");
+                     });
+  if (configuration) {
+    for (const auto& it : (*configuration)->accounts()) {
+      for (const auto& key : it.keys) {
+        fuzz::require((*configuration)->find_account(key) != nullptr, "each key is found");
+      }
+    }
+  }
+  if (const auto target = adapter::parse_announcement("i", input)) {
+    fuzz::require(target->address.port != 0, "a target has an address");
+  }
+  (void)adapter::parse_page(input);
+  (void)adapter::parse_changes(input);
+  (void)adapter::match_announcement("POST", input);
+  if (const auto record = adapter::parse_node_record("n", input)) {
+    fuzz::require(adapter::parse_node_record("n", adapter::to_json(*record)) == record,
+                  "parse(print(x)) == x");
+  }
+}
