Hold accounts to their rates after a whole-fleet kill and at the onset of a surge

Cause: after all nodes are killed, links open before the first request, so every node counts as heard and none has told demand.

Change: a node's demand counts two report intervals after it was told; between two reports a node may spend a part of the bucket, and reports early when that is used up; links open with the use of all accounts, so that first reports count; first admissions are spread by a seed; rates of silent nodes are smoothed.

--- a/source/fleet/fleet.h
+++ b/source/fleet/fleet.h
@@ -150,6 +150,8 @@
   /// The node is shutting down.
   bool leaving = false;
   target_status target;
+  /// `accounts` holds the use of every account. Set when a link opens.
+  bool whole_usage = false;
   std::vector<traffic::account_usage> accounts;
   std::vector<traffic::class_demand> demand;
   std::vector<traffic::call_ratio> calls;
@@ -159,7 +161,7 @@
   template <class Archive>
   void serialize(Archive& archive) {
     archive(node, data_centre, address.address, address.port, incarnation, configuration_version,
-            leaving, target, accounts, demand, calls, costs);
+            leaving, target, whole_usage, accounts, demand, calls, costs);
   }
 };
 
--- a/source/sidecar/agent.cpp
+++ b/source/sidecar/agent.cpp
@@ -9,7 +9,9 @@
 namespace {
 
 /// Interval of the load messages between nodes: shares of accounts and load are this old at most.
-constexpr milliseconds load_interval{250};
+constexpr milliseconds load_interval = traffic::account_rates::report_interval;
+/// Pause between reports of the use of accounts that are sent before their time.
+constexpr milliseconds early_report_pause{50};
 /// Every n-th load message is a whole status; what it adds changes slowly.
 constexpr std::uint64_t status_every = 8;
 /// The call graph is worked out once in so many load messages; it costs about 1 ms.
@@ -62,8 +64,9 @@
 
 agent::agent(event::loop& loop, const settings& values)
     : loop_(loop), settings_(values), incarnation_(random_id().low), log_(loop, values.name),
-      rates_(values.first_start), budget_({}), crashes_({}), writer_(loop, values.store_address),
-      health_(loop, values.upstream_address), started_(loop.now()) {
+      rates_(values.first_start, incarnation_), budget_({}), crashes_({}),
+      writer_(loop, values.store_address), health_(loop, values.upstream_address),
+      started_(loop.now()) {
   set_retry_budget();
   fleet::network_options network;
   network.node = values.name;
@@ -99,7 +102,10 @@
                                .field("peer", node.name)
                                .field("address", to_string(node.address)));
                 if (connected) {
-                  nodes_->send(node.name, make_status());
+                  auto status = make_status();
+                  status.whole_usage = true;
+                  status.accounts = rates_.whole();
+                  nodes_->send(node.name, status);
                 }
               },
       });
@@ -364,12 +370,14 @@
 }
 
 void agent::on_status(const fleet::status_frame& status) {
-  rates_.heard(loop_.now(), status.node, status.incarnation, status.accounts);
+  rates_.heard(loop_.now(), status.node, status.incarnation, status.accounts,
+               status.whole_usage ? traffic::usage_scope::whole : traffic::usage_scope::changes);
   learn_version(status.node, status.configuration_version);
 }
 
 void agent::on_load(const fleet::node_entry& node, const fleet::load_frame& load, bool near) {
-  rates_.heard(loop_.now(), node.name, node.status.incarnation, load.accounts);
+  rates_.heard(loop_.now(), node.name, node.status.incarnation, load.accounts,
+               traffic::usage_scope::changes);
   if (near) {
     auto& pending = near_loads_[node.name];
     auto accounts = std::move(pending.load.accounts);
@@ -450,6 +458,7 @@
     for (const auto& [name, node] : nodes_->nodes()) {
       if (node.data_centre == settings_.data_centre && nodes_->reachable(node)) {
         digest.statuses.push_back(node.status);
+        digest.statuses.back().whole_usage = false;
         digest.statuses.back().accounts.clear();
       }
     }
@@ -543,6 +552,11 @@
   if (++ticks_ % observe_every == 0) {
     target_->observer().end_interval(loop_.now());
   }
+  if (rates_.report_due() && loop_.now() - usage_told_ >= early_report_pause) {
+    // Relays would pass it on too late.
+    usage_told_ = loop_.now();
+    nodes_->broadcast(make_load());
+  }
   log_.flush();
   if (leaving_) {
     check_shutdown();
@@ -556,6 +570,7 @@
   if (intervals_ % learn_every == 0) {
     own_calls_ = target_->observer().ratios();
   }
+  usage_told_ = loop_.now();
   const auto load = make_load();
   nodes_->broadcast_near(load);
   if (with_status) {
--- a/source/sidecar/agent.h
+++ b/source/sidecar/agent.h
@@ -94,6 +94,7 @@
   std::optional<adapter::stored_object> own_object_;
   /// Calls of other nodes under way, by connection and the id there.
   std::map<std::pair<std::uint64_t, std::uint64_t>, upstream_executor::call_id> peer_calls_;
+  time_point usage_told_{};
   std::uint64_t ticks_ = 0;
   std::uint64_t intervals_ = 0;
   /// Loads of this data centre's nodes since the last digest.
--- a/source/traffic/account_rates.cpp
+++ b/source/traffic/account_rates.cpp
@@ -13,6 +13,14 @@
 constexpr double unknown_fleet_share = 0.02;
 /// Below this part of the burst a node spends only its share of the refill.
 constexpr double shared_below = 0.3;
+/// Part of what is in the bucket that all nodes together may spend between two reports. Reports to
+/// other data centres may take two intervals, so half of it each.
+constexpr double granted_part = 0.5;
+/// Nothing is admitted while the bucket is overdrawn by more than this part of the burst. Within
+/// it, admissions that were not reported yet don't stop an account that keeps its rate.
+constexpr double max_overdraft = 0.25;
+/// Smallest overdraft, in requests, for accounts with small bursts.
+constexpr double min_overdraft = 2;
 /// Part of the refill that is spent while the bucket is overdrawn, so that it recovers.
 constexpr double overdrawn_refill = 0.7;
 /// A share holds at least one request, or a small account could never use it.
@@ -24,6 +32,13 @@
   return std::chrono::duration<double>(value).count();
 }
 
+/// @return an even spread of [0, 1) over all values.
+double fraction_of(std::uint64_t value) {
+  // Fibonacci hashing: neighbouring seeds lie far apart.
+  constexpr std::uint64_t multiplier = 0x9E37'79B9'7F4A'7C15;
+  return static_cast<double>((value * multiplier) >> 11U) * 0x1.0p-53;
+}
+
 } // namespace
 
 void account_rates::advance_demand(time_point now, bucket& value) const {
@@ -50,21 +65,33 @@
   for (const auto& [node, it] : value.remote) {
     others += it.demand;
   }
-  const double total = value.demand + others;
+  const double known = std::min(value.demand, value.shared_demand);
+  const double total = known + others;
   const double even =
       fleet_size_ == 0 ? unknown_fleet_share : 1.0 / static_cast<double>(fleet_size_);
-  const double own = total <= 0 ? even : value.demand / total;
+  const double own = total <= 0 ? even : known / total;
   return std::max(even, own * heard_part());
 }
 
+account_rates::bucket& account_rates::find_bucket(time_point now, const std::string& account) {
+  if (!started_) {
+    started_ = now;
+  }
+  auto [found, added] = buckets_.try_emplace(account);
+  if (added) {
+    found->second.updated = *started_;
+    found->second.demand_updated = now;
+    found->second.share_level = fraction_of(hash64(account) ^ seed_);
+  }
+  return found->second;
+}
+
 account_rates::bucket& account_rates::advance(time_point now, const account& of) {
   const double burst = std::max(1.0, of.burst);
-  auto [found, added] = buckets_.try_emplace(of.name);
-  bucket& value = found->second;
-  if (added || value.updated == time_point{}) {
-    value.level = start_full_ ? burst : 0;
-    value.updated = now;
-    value.demand_updated = now;
+  bucket& value = find_bucket(now, of.name);
+  if (!value.opened) {
+    value.opened = true;
+    value.level += start_full_ ? burst : 0;
   }
   const double elapsed = in_seconds(now - value.updated);
   value.updated = now;
@@ -92,12 +119,22 @@
   value.asked_since += 1;
   const double burst = std::max(1.0, of.burst);
   const bool plenty = value.level >= std::max(1.0, burst * shared_below);
-  if (!plenty) {
-    if (value.share_level < 1) {
-      const double refill = std::max(0.1, of.rate * share(value));
-      return milliseconds(static_cast<std::int64_t>(1'000 * (1 - value.share_level) / refill) + 1);
-    }
+  if (!value.granted) {
+    value.grant = plenty ? std::max(1.0, granted_part * share(value) * value.level) : 0.0;
+    value.granted = true;
+  }
+  // A node that reserves parts of nodes it has not heard sees too little of the refill, so that its
+  // level sinks without end.
+  const bool overdrawn =
+      heard_part() >= 1 && value.level < -std::max(min_overdraft, burst * max_overdraft);
+  if (value.share_level >= 1 && !overdrawn) {
     value.share_level -= 1;
+  } else if (plenty && value.grant >= 1) {
+    value.grant -= 1;
+    report_due_ = report_due_ || value.grant < 1;
+  } else {
+    const double refill = std::max(0.1, of.rate * share(value));
+    return milliseconds(static_cast<std::int64_t>(1'000 * (1 - value.share_level) / refill) + 1);
   }
   value.level -= 1;
   ++value.admitted;
@@ -113,10 +150,15 @@
 }
 
 void account_rates::heard(time_point now, const std::string& node, std::uint64_t incarnation,
-                          const std::vector<account_usage>& usage) {
+                          const std::vector<account_usage>& usage, usage_scope scope) {
   heard_nodes_.insert(node);
+  const auto whole = whole_reports_.find(node);
+  const bool complete = whole != whole_reports_.end() && whole->second == incarnation;
+  if (scope == usage_scope::whole) {
+    whole_reports_[node] = incarnation;
+  }
   for (const auto& it : usage) {
-    bucket& value = buckets_[it.account];
+    bucket& value = find_bucket(now, it.account);
     auto [found, added] = value.remote.try_emplace(node);
     remote_usage& remote = found->second;
     if (!added && remote.incarnation == incarnation && it.admitted < remote.admitted) {
@@ -128,10 +170,12 @@
           static_cast<double>(it.admitted) - static_cast<double>(remote.admitted);
       const double elapsed = std::max(0.05, in_seconds(now - remote.heard));
       value.level -= admitted - remote.assumed;
-      remote.rate = std::max(0.0, admitted / elapsed);
+      // One interval holds few admissions of one node, so that its rate alone is mostly noise.
+      const double weight = 1 - std::exp(-elapsed / demand_horizon_s);
+      remote.rate += (std::max(0.0, admitted / elapsed) - remote.rate) * weight;
     } else {
-      // What a new incarnation admitted before its first report is unknown to this node.
-      value.level -= added ? 0.0 : static_cast<double>(it.admitted);
+      // Without an earlier report the count may go back to before this node's start.
+      value.level -= added && !complete ? 0.0 : static_cast<double>(it.admitted);
       remote.rate = 0;
     }
     remote.incarnation = incarnation;
@@ -144,6 +188,7 @@
 
 void account_rates::forget_node(const std::string& node) {
   heard_nodes_.erase(node);
+  whole_reports_.erase(node);
   for (auto& [name, it] : buckets_) {
     it.remote.erase(node);
   }
@@ -152,11 +197,18 @@
 std::vector<account_usage> account_rates::changed(time_point now) {
   constexpr double same_demand = 0.05;
   std::vector<account_usage> result;
+  report_due_ = false;
+  if (!started_) {
+    started_ = now;
+  }
   for (auto& [name, it] : buckets_) {
-    if (it.demand_updated == time_point{}) {
-      continue;
-    }
+    it.granted = false;
     advance_demand(now, it);
+    if (now - it.demand_shifted >= report_interval) {
+      it.shared_demand = it.told_before;
+      it.told_before = it.told_demand;
+      it.demand_shifted = now;
+    }
     if (it.admitted != it.told || std::abs(it.demand - it.told_demand) > same_demand) {
       it.told = it.admitted;
       it.told_demand = it.demand;
@@ -166,4 +218,12 @@
   return result;
 }
 
+std::vector<account_usage> account_rates::whole() const {
+  std::vector<account_usage> result;
+  for (const auto& [name, it] : buckets_) {
+    result.push_back({name, it.admitted, it.told_demand});
+  }
+  return result;
+}
+
 } // namespace damaskledge::traffic
--- a/source/traffic/traffic.h
+++ b/source/traffic/traffic.h
@@ -155,32 +155,54 @@
   }
 };
 
+/// What a report of the use of accounts covers.
+enum class usage_scope : std::uint8_t {
+  /// Every account that the node has admitted requests of. Sent when a link opens.
+  whole,
+  /// The accounts whose use has changed.
+  changes,
+};
+
 /// Holds accounts to their rates over the whole fleet without a coordinator. Each node follows one
 /// bucket for each account from its own and the reported admissions. While the bucket is full
-/// enough it admits freely; below that, a node spends only its share of the refill, which is its
-/// part of the demand. Shares of nodes that are not heard from stay reserved until they are
-/// forgotten, so that both sides of a partition together keep the rate.
+/// enough, a node may spend a part of it between two of its reports; below that it spends only its
+/// share of the refill, which is its part of the demand. Shares of nodes that are not heard from
+/// stay reserved until they are forgotten, so that both sides of a partition together keep the
+/// rate.
 class account_rates {
  public:
+  /// Longest time between two reports of a node.
+  static constexpr milliseconds report_interval{250};
+
   /// @param start_full buckets start full: the whole fleet starts for the first time. Otherwise
   /// they start empty, since the burst may have been spent before a restart.
-  explicit account_rates(bool start_full) : start_full_(start_full) {}
+  /// @param seed differs from node to node. It spreads the times of the nodes' first admissions; if
+  /// all shares started empty, an account with less than one request a second for each node would
+  /// get nothing in the first second.
+  account_rates(bool start_full, std::uint64_t seed) : start_full_(start_full), seed_(seed) {}
 
   /// Counts a request of the account and decides on it.
   /// @return nothing when admitted, otherwise the time after which one may be admitted.
   std::optional<milliseconds> ask(time_point now, const account& of);
   /// Takes back an admission whose request was refused before it ran.
   void give_back(const std::string& account);
-  /// Report of another node; counts restart with its incarnation.
+  /// Report of another node; counts restart with its incarnation. An account that is new in a
+  /// report of changes was not used before, if a whole report of the same incarnation came earlier.
   void heard(time_point now, const std::string& node, std::uint64_t incarnation,
-             const std::vector<account_usage>& usage);
+             const std::vector<account_usage>& usage, usage_scope scope);
   /// A node is known to be gone for good; its share is free.
   void forget_node(const std::string& node);
   /// @param nodes nodes of the fleet, this one included. An even share stays reserved for each one
   /// that has not been heard since this node's start.
   void set_fleet_size(std::size_t nodes) { fleet_size_ = std::max<std::size_t>(1, nodes); }
-  /// @return accounts with demand since the last call, to be told to the others.
+  /// @return accounts with demand since the last call, to be told to the others. Call it at
+  /// intervals of `report_interval` at most; a report must reach every node within two of them.
   std::vector<account_usage> changed(time_point now);
+  /// @return the use of every account, for a node that is heard for the first time.
+  std::vector<account_usage> whole() const;
+  /// @return true when an account has used up what it may spend before the next report, so that one
+  /// should be sent before its time.
+  bool report_due() const { return report_due_; }
 
  private:
   struct remote_usage {
@@ -194,6 +216,9 @@
   };
   struct bucket {
     double level = 0;
+    /// `level` counts from the start's burst on; before the first request it holds only what the
+    /// others have admitted.
+    bool opened = false;
     double share_level = 0;
     time_point updated{};
     std::uint64_t admitted = 0;
@@ -202,19 +227,38 @@
     double asked_since = 0;
     time_point demand_updated{};
     double told_demand = 0;
+    /// Demand told one report interval earlier.
+    double told_before = 0;
+    /// Demand told two report intervals ago; the others have heard it.
+    double shared_demand = 0;
+    time_point demand_shifted{};
+    /// Part of the bucket that may still be spent before the next report.
+    double grant = 0;
+    bool granted = false;
     std::map<std::string, remote_usage> remote;
   };
 
+  /// @return the account's bucket; a new one has been filling since this node's start.
+  bucket& find_bucket(time_point now, const std::string& account);
   bucket& advance(time_point now, const account& of);
   void advance_demand(time_point now, bucket& value) const;
+  /// @return part of the refill that this node may spend. Its demand counts once the others have
+  /// heard it; otherwise each node of a restarted fleet would take the whole rate until the first
+  /// reports arrive.
   double share(const bucket& value) const;
   /// @return part of the fleet, this node included, that has been heard.
   double heard_part() const;
 
   bool start_full_;
+  std::uint64_t seed_;
+  /// Time of the first call.
+  std::optional<time_point> started_;
   /// 0 before it is known.
   std::size_t fleet_size_ = 0;
   std::set<std::string> heard_nodes_;
+  /// Incarnation of each node of which a whole report was heard.
+  std::map<std::string, std::uint64_t> whole_reports_;
+  bool report_due_ = false;
   std::unordered_map<std::string, bucket> buckets_;
 };
 
--- a/tests/traffic/traffic_test.cpp
+++ b/tests/traffic/traffic_test.cpp
@@ -22,10 +22,18 @@
 struct rate_fleet {
   rate_fleet(std::size_t n, bool start_full) {
     for (std::size_t i = 0; i < n; ++i) {
-      nodes.emplace_back(start_full);
+      nodes.emplace_back(start_full, random());
       nodes.back().set_fleet_size(n);
       cut.push_back(false);
     }
+    connect();
+  }
+
+  /// Opens the links between all nodes.
+  void connect() {
+    for (std::size_t from = 0; from < nodes.size(); ++from) {
+      tell(from, nodes[from].whole(), traffic::usage_scope::whole);
+    }
   }
 
   /// Offers `per_s` requests a second in all, spread by `weights`, for `length`.
@@ -43,16 +51,32 @@
       }
       if (!silent && (now - time_point{}) % milliseconds(250) < step) {
         exchange();
+      } else if (!silent && (now - time_point{}) % milliseconds(50) < step) {
+        exchange_due();
       }
     }
   }
   void exchange() {
     for (std::size_t from = 0; from < nodes.size(); ++from) {
-      const auto usage = nodes[from].changed(now);
-      for (std::size_t to = 0; to < nodes.size(); ++to) {
-        if (to != from && cut[to] == cut[from]) {
-          nodes[to].heard(now, "n" + std::to_string(from), 1, usage);
-        }
+      report(from);
+    }
+  }
+  /// Reports that are sent before their time, of the nodes that have spent what they may.
+  void exchange_due() {
+    for (std::size_t from = 0; from < nodes.size(); ++from) {
+      if (nodes[from].report_due()) {
+        report(from);
+      }
+    }
+  }
+  void report(std::size_t from) {
+    tell(from, nodes[from].changed(now), traffic::usage_scope::changes);
+  }
+  void tell(std::size_t from, const std::vector<traffic::account_usage>& usage,
+            traffic::usage_scope scope) {
+    for (std::size_t to = 0; to < nodes.size(); ++to) {
+      if (to != from && cut[to] == cut[from]) {
+        nodes[to].heard(now, "n" + std::to_string(from), 1, usage, scope);
       }
     }
   }
@@ -126,7 +150,7 @@
   fleet.account = make_account(190, 190);
   fleet.offer(650, even, seconds(8));
   for (auto& it : fleet.nodes) {
-    it = traffic::account_rates(false);
+    it = traffic::account_rates(false, fleet.random());
   }
   // The nodes find each other in the store before they are connected.
   fleet.silent = true;
@@ -140,6 +164,48 @@
   CHECK(fleet.worst_window() <= window_bound(fleet.account));
 }
 
+TEST_CASE("A sudden surge of an account does not spend its burst at every node at once") {
+  rate_fleet fleet(14, true);
+  const std::vector<double> even(14, 1.0);
+  fleet.account = make_account(197, 197);
+  fleet.offer(120, even, seconds(4));
+  fleet.offer(2'000, even, seconds(6));
+  CHECK(fleet.worst_window() <= window_bound(fleet.account));
+}
+
+TEST_CASE("A surge of a small account over many nodes stays within its rate and burst") {
+  rate_fleet fleet(60, true);
+  const std::vector<double> even(60, 1.0);
+  fleet.account = make_account(6, 6);
+  fleet.offer(4, even, seconds(4));
+  fleet.offer(40, even, seconds(6));
+  CHECK(fleet.worst_window() <= window_bound(fleet.account));
+}
+
+TEST_CASE(
+    "Restarted nodes that are connected don't each take the whole rate before demand is told") {
+  rate_fleet fleet(14, true);
+  const std::vector<double> even(14, 1.0);
+  fleet.account = make_account(197, 197);
+  fleet.offer(1'500, even, seconds(8));
+  for (auto& it : fleet.nodes) {
+    it = traffic::account_rates(false, fleet.random());
+    it.set_fleet_size(14);
+  }
+  // The links open before the first request, so every node has been heard and told no demand.
+  fleet.connect();
+  fleet.offer(1'500, even, seconds(8));
+  CHECK(fleet.worst_window() <= window_bound(fleet.account));
+}
+
+TEST_CASE("Restarted nodes grant small accounts their rate from the first second on") {
+  rate_fleet fleet(14, false);
+  fleet.account = make_account(14, 14);
+  fleet.offer(60, std::vector<double>(14, 1.0), seconds(1));
+  CHECK(fleet.admitted.size() >= 9);
+  CHECK(fleet.admitted.size() <= 14 + 5);
+}
+
 TEST_CASE("A split deals requests in the proportions of the weights at any length") {
   traffic::route route;
   route.name = "r";
