--- a/source/fleet/fleet.h
+++ b/source/fleet/fleet.h
@@ -255,7 +255,10 @@
 struct network_options {
   std::string node;
   std::string data_centre;
+  /// Where the others reach this node.
   endpoint address;
+  /// Where it listens; port 0 for the same.
+  endpoint listen_address;
   /// A peer whose state is older than this gets no calls: three intervals of its load messages.
   milliseconds silence_limit{1'000};
   /// The same for peers of other data centres, whose state may lose a relay for about a second.
--- a/source/fleet/network.cpp
+++ b/source/fleet/network.cpp
@@ -39,8 +39,9 @@
 network::~network() = default;
 
 leaf::result<void> network::listen() {
-  BOOST_LEAF_ASSIGN(listener_,
-                    event::listener::open(loop_, options_.address, [this](int fd) { accept(fd); }));
+  const endpoint& at =
+      options_.listen_address.port == 0 ? options_.address : options_.listen_address;
+  BOOST_LEAF_ASSIGN(listener_, event::listener::open(loop_, at, [this](int fd) { accept(fd); }));
   return {};
 }
 
--- a/source/sidecar/agent.cpp
+++ b/source/sidecar/agent.cpp
@@ -72,6 +72,7 @@
   network.node = values.name;
   network.data_centre = values.data_centre;
   network.address = values.peer_address;
+  network.listen_address = values.peer_listen_address;
   nodes_ = std::make_unique<fleet::network>(
       loop, network,
       fleet::network_events{
--- a/source/sidecar/http_service.cpp
+++ b/source/sidecar/http_service.cpp
@@ -31,7 +31,11 @@
 http_service::http_service(event::loop& loop, events callbacks)
     : loop_(loop), callbacks_(std::move(callbacks)) {}
 
-http_service::~http_service() = default;
+http_service::~http_service() {
+  for (const auto& [id, it] : connections_) {
+    loop_.cancel(it->timer);
+  }
+}
 
 leaf::result<void> http_service::listen(const endpoint& at) {
   BOOST_LEAF_ASSIGN(listener_, event::listener::open(loop_, at, [this](int fd) { accept(fd); }));
--- a/source/sidecar/settings.cpp
+++ b/source/sidecar/settings.cpp
@@ -132,6 +132,7 @@
   reader.read("ready_address", result.ready_address);
   reader.read("announce_address", result.announce_address);
   reader.read("peer_address", result.peer_address);
+  reader.read("peer_listen_address", result.peer_listen_address);
   reader.read("metrics_address", result.metrics_address);
   reader.read("upstream_address", result.upstream_address);
   reader.read("store_address", result.store_address);
--- a/tests/sidecar/settings_test.cpp
+++ b/tests/sidecar/settings_test.cpp
@@ -41,6 +41,15 @@
   CHECK(values.grace == seconds(7));
   CHECK(values.retry_window == seconds(10));
   CHECK(values.metrics_address.port == 0);
+  CHECK(values.peer_listen_address.port == 0);
+}
+
+TEST_CASE("A node behind a forwarder listens elsewhere than it tells the others") {
+  const auto text =
+      replaced("\"peer_address\"", "\"peer_listen_address\": \"127.0.0.1:9\", \"peer_address\"");
+  const auto values = sidecar::parse_settings(text, "f.json").value();
+  CHECK(values.peer_listen_address == endpoint{"127.0.0.1", 9});
+  CHECK(values.peer_address == endpoint{"127.0.0.1", 4});
 }
 
 TEST_CASE("Wrong settings are refused with the field and the remedy") {
