--- a/source/sidecar/agent.cpp
+++ b/source/sidecar/agent.cpp
@@ -16,6 +16,9 @@
 constexpr std::uint64_t status_every = 8;
 /// The call graph is worked out once in so many load messages; it costs about 1 ms.
 constexpr std::uint64_t learn_every = 4;
+/// The second relay of a data centre sends every n-th digest only. It stands in when the first is
+/// lost, and bytes between data centres are billed.
+constexpr std::uint64_t standby_every = 4;
 /// Demand is told again when a class has changed by this part, and by this much a second.
 constexpr double demand_change = 0.2;
 constexpr double min_demand_change = 0.5;
@@ -435,6 +438,7 @@
   load.slots = target.slots;
   load.in_flight = target.in_flight;
   load.queued = target.queued;
+  load.shortage = target.shortage;
   load.accounts = rates_.changed(loop_.now());
   if (changed_much(told_demand_, own_demand_)) {
     load.demand = own_demand_;
@@ -444,8 +448,11 @@
 }
 
 void agent::relay_states(const fleet::load_frame& own, bool with_statuses) {
-  const auto loads = std::exchange(near_loads_, {});
   const auto rank = nodes_->relay_rank();
+  if (rank && *rank > 0 && intervals_ % standby_every != 0) {
+    return;
+  }
+  const auto loads = std::exchange(near_loads_, {});
   if (!rank) {
     return;
   }
@@ -484,6 +491,7 @@
     picture.costs.insert(picture.costs.end(), status.costs.begin(), status.costs.end());
     if (status.target.ready) {
       picture.capacity[status.target.service] += status.target.slots;
+      picture.shortage[status.target.service] += status.target.shortage;
     }
   };
   add(make_status());
@@ -567,6 +575,7 @@
 
 void agent::slow_tick() {
   own_demand_ = demand_.end_interval(load_interval);
+  target_->end_interval(load_interval);
   const bool with_status = ++intervals_ % status_every == 0;
   if (intervals_ % learn_every == 0) {
     own_calls_ = target_->observer().ratios();
