--- a/source/fleet/fleet.h
+++ b/source/fleet/fleet.h
@@ -108,13 +108,11 @@
   std::uint32_t slots = 0;
   std::uint32_t in_flight = 0;
   std::uint32_t queued = 0;
-  /// Slots by which its load must fall so that its queue stops refusing.
-  float shortage = 0;
 
   bool operator==(const target_status&) const = default;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(service, instance, ready, slots, in_flight, queued, shortage);
+    archive(service, instance, ready, slots, in_flight, queued);
   }
 };
 
@@ -128,8 +126,6 @@
   std::uint32_t slots = 0;
   std::uint32_t in_flight = 0;
   std::uint32_t queued = 0;
-  /// As in `target_status`.
-  float shortage = 0;
   /// Accounts whose use has changed.
   std::vector<traffic::account_usage> accounts;
   /// Offered requests; empty when they have hardly changed.
@@ -138,8 +134,7 @@
   bool operator==(const load_frame&) const = default;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(configuration_version, leaving, ready, slots, in_flight, queued, shortage, accounts,
-            demand);
+    archive(configuration_version, leaving, ready, slots, in_flight, queued, accounts, demand);
   }
 };
 
--- a/source/sidecar/agent.cpp
+++ b/source/sidecar/agent.cpp
@@ -438,7 +438,6 @@
   load.slots = target.slots;
   load.in_flight = target.in_flight;
   load.queued = target.queued;
-  load.shortage = target.shortage;
   load.accounts = rates_.changed(loop_.now());
   if (changed_much(told_demand_, own_demand_)) {
     load.demand = own_demand_;
@@ -491,7 +490,6 @@
     picture.costs.insert(picture.costs.end(), status.costs.begin(), status.costs.end());
     if (status.target.ready) {
       picture.capacity[status.target.service] += status.target.slots;
-      picture.shortage[status.target.service] += status.target.shortage;
     }
   };
   add(make_status());
@@ -575,7 +573,6 @@
 
 void agent::slow_tick() {
   own_demand_ = demand_.end_interval(load_interval);
-  target_->end_interval(load_interval);
   const bool with_status = ++intervals_ % status_every == 0;
   if (intervals_ % learn_every == 0) {
     own_calls_ = target_->observer().ratios();
--- a/source/sidecar/upstream_executor.cpp
+++ b/source/sidecar/upstream_executor.cpp
@@ -145,7 +145,6 @@
   result.slots = static_cast<std::uint32_t>(limit());
   result.in_flight = static_cast<std::uint32_t>(running_.size());
   result.queued = static_cast<std::uint32_t>(queue_.size());
-  result.shortage = static_cast<float>(shortage_.slots());
   return result;
 }
 
@@ -199,7 +198,6 @@
   allowed = std::min(allowed, left / 2);
   const duration wait = expected_wait(key);
   if (wait > allowed) {
-    shortage_.refused();
     refuse(queued, "queue full", false, wait);
     return id;
   }
@@ -486,7 +484,6 @@
     }
     auto expired = queue_.extract(it++);
     queue_index_.erase(expired.mapped().id);
-    shortage_.refused();
     refuse(expired.mapped(), "waited too long", false, expected_wait(expired.key()));
   }
   std::vector<std::uint64_t> failed;
--- a/source/sidecar/upstream_executor.h
+++ b/source/sidecar/upstream_executor.h
@@ -103,8 +103,6 @@
   void cancel(call_id id);
   /// Checks time-outs; called at a short interval.
   void tick();
-  /// Ends an interval of the load messages.
-  void end_interval(duration interval) { shortage_.end_interval(interval, mean_held_s_); }
 
   fleet::target_status status() const;
   target_state state() const { return state_; }
@@ -169,7 +167,6 @@
   time_point check_started_{};
   /// Mean time for which a request holds a slot.
   double mean_held_s_ = 0.05;
-  traffic::shortage_meter shortage_;
   traffic::call_observer observer_;
 };
 
--- a/source/traffic/entry_admission.cpp
+++ b/source/traffic/entry_admission.cpp
@@ -14,13 +14,6 @@
 constexpr double min_ratio = 0.2;
 /// Requests of a class that may be admitted ahead because they came back after a refusal.
 constexpr double max_advance = 20;
-/// Part of an interval's refused load that is added to the shortage, and part that the shortage
-/// keeps from one interval to the next. A cut shows at the queue after about two intervals, so that
-/// a larger gain would oscillate.
-constexpr double shortage_gain = 0.4;
-constexpr double shortage_kept = 0.85;
-/// Part of a service's slots that a shortage takes from the plan at most.
-constexpr double max_shortage = 0.5;
 /// Rates below this are dropped, so that classes that are gone leave the table.
 constexpr double min_rate = 0.01;
 
@@ -171,20 +164,14 @@
     order.insert(urgency_of(it.kind));
   }
   for (const auto& [service, slots] : picture.capacity) {
-    const auto shortage = picture.shortage.find(service);
-    const double short_slots = shortage == picture.shortage.end()
-                                   ? 0.0
-                                   : std::min(shortage->second, slots * max_shortage);
-    // Refusals prove that the service is full, even where the plan believes that there is room.
-    double excess =
-        std::max(0.0, offered(classes, service) - slots * options.utilisation) + short_slots;
+    double excess = offered(classes, service) - slots * options.utilisation;
     for (const auto& next : order) {
       if (excess <= 0) {
         break;
       }
       excess = cut_classes(classes, service, next, excess, options.floor);
     }
-    if (excess > short_slots) {
+    if (excess > 0) {
       // Even the floors ask for more than there is; a service that is kept overloaded serves
       // nobody.
       const double wanted = offered(classes, service);
@@ -199,12 +186,6 @@
   return plan;
 }
 
-void shortage_meter::end_interval(duration interval, double held_s) {
-  const double length = std::max(0.001, std::chrono::duration<double>(interval).count());
-  slots_ = slots_ * shortage_kept + refused_ / length * held_s * shortage_gain;
-  refused_ = 0;
-}
-
 double entry_admission::fraction(const request_class& kind) const {
   const auto found = plan_.find(kind);
   return found == plan_.end() ? 1.0 : found->second;
--- a/source/traffic/traffic.h
+++ b/source/traffic/traffic.h
@@ -409,8 +409,6 @@
   std::vector<route_cost> costs;
   /// Slots that each service can keep busy.
   std::map<std::string, double> capacity;
-  /// Slots by which the load of each service must fall so that its queues stop refusing.
-  std::map<std::string, double> shortage;
 };
 
 /// Fraction of each class to admit.
@@ -426,28 +424,9 @@
 /// @return slot-seconds that one request of the class needs at each service, with all calls below.
 std::map<std::string, double> needs_of(const load_picture& picture, const std::string& route,
                                        const std::string& service);
-/// Cuts the least urgent classes first until no service is offered more than it can run, and for
-/// its shortage. What cuts of single classes can't save is taken from all alike, but for the
-/// shortage, which is only an estimate.
+/// Cuts the least urgent classes first until no service is offered more than it can run.
 admission_plan plan_admission(const load_picture& picture, const admission_options& options);
 
-/// Estimates from a queue's refusals how far its service is overloaded, whatever the plan believed:
-/// costs and calls are learned, and change faster than they are learned.
-class shortage_meter {
- public:
-  /// A request was refused for want of room.
-  void refused() { ++refused_; }
-  /// Ends an interval.
-  /// @param held_s mean time for which a request holds a slot.
-  void end_interval(duration interval, double held_s);
-  /// @return slots.
-  double slots() const { return slots_; }
-
- private:
-  double refused_ = 0;
-  double slots_ = 0;
-};
-
 /// Admits the planned fraction of each class evenly.
 class entry_admission {
  public:
--- a/tests/traffic/traffic_test.cpp
+++ b/tests/traffic/traffic_test.cpp
@@ -368,37 +368,6 @@
   CHECK(plan.at({"read", 2}) > 0);
 }
 
-TEST_CASE("A service whose queue refuses more than the plan expects gets less of the least urgent") {
-  const traffic::admission_options options;
-  auto picture = chain_picture(20);
-  picture.shortage["deep"] = 2;
-  const auto plan = traffic::plan_admission(picture, options);
-  CHECK(plan.at({"read", 2}) < 0.8);
-  CHECK(plan.at({"write", 0}) == 1);
-  // An estimate alone takes nobody below the floor.
-  picture.shortage["deep"] = 1'000;
-  for (const auto& [kind, fraction] : traffic::plan_admission(picture, options)) {
-    CHECK(fraction >= options.floor);
-  }
-}
-
-TEST_CASE("A shortage follows the refusals of a queue and ends with them") {
-  traffic::shortage_meter meter;
-  for (int i = 0; i < 20; ++i) {
-    for (int n = 0; n < 10; ++n) {
-      meter.refused();
-    }
-    meter.end_interval(milliseconds(250), 0.04);
-  }
-  // 40 refusals a second at 40 ms are 1.6 slots; the shortage asks for more, so that they end.
-  CHECK(meter.slots() > 1.6);
-  CHECK(meter.slots() < 1.6 * 4);
-  for (int i = 0; i < 20; ++i) {
-    meter.end_interval(milliseconds(250), 0.04);
-  }
-  CHECK(meter.slots() < 0.2);
-}
-
 TEST_CASE("Among classes of one effective priority the route's priority decides") {
   auto picture = chain_picture(40);
   picture.demand = {{{"read", 1, 2}, "front", 40}, {{"write", 1, 0}, "front", 40}};
