--- a/source/sidecar/sidecar.h
+++ b/source/sidecar/sidecar.h
@@ -24,7 +24,7 @@
   endpoint announce_address;
   /// Where other nodes connect.
   endpoint peer_address;
-  /// Where the node listens for them when a forwarder stands at `peer_address`; port 0 for the same.
+  /// Where the node listens for them behind a forwarder at `peer_address`; port 0 for the same.
   endpoint peer_listen_address;
   /// Where counters and histograms are served; port 0 turns it off.
   endpoint metrics_address;
