Ignore what relays still tell of an earlier start of a node

When a node restarts, the second relay of its data centre passes on a status and a load of the earlier start after the node's own link has told the new one. The other data centres took the old start for the newest, and each change between the two took all that the node had ever admitted from the accounts' buckets (-150 at once).

Change: while a node's own link is open, its statuses and loads go before those of relays, and reports of the use of accounts count only for the start that the node itself has told.

--- a/source/fleet/fleet.h
+++ b/source/fleet/fleet.h
@@ -345,6 +345,8 @@
   void handle_load(const std::string& name, const load_frame& load);
   void handle_digest(digest_frame digest);
   void store_status(const status_frame& status);
+  /// @return false for a status or load of a start of the node that its own link contradicts.
+  bool plausible(const std::string& node, std::uint64_t incarnation) const;
 
   event::loop& loop_;
   network_options options_;
@@ -353,6 +355,8 @@
   std::map<std::string, node_entry> nodes_;
   std::map<std::string, std::unique_ptr<outbound_link>> outbound_;
   std::unordered_map<std::uint64_t, std::unique_ptr<inbound_link>> inbound_;
+  /// Newest open link from each node. What it tells goes before what relays still pass on.
+  std::map<std::string, std::uint64_t> newest_inbound_;
   std::uint64_t next_connection_ = 1;
   std::uint64_t next_call_ = 1;
 };
--- a/source/fleet/network.cpp
+++ b/source/fleet/network.cpp
@@ -28,6 +28,8 @@
   std::uint64_t id = 0;
   /// Name of the node at the other end; empty before its first status.
   std::string node;
+  /// Start of that node.
+  std::uint64_t incarnation = 0;
   std::unique_ptr<event::stream> connection;
   /// Smallest difference seen between arrival and sending; a larger one is delay on the link.
   std::int64_t least_offset_us = std::numeric_limits<std::int64_t>::max();
@@ -245,6 +247,10 @@
   if (found == inbound_.end()) {
     return;
   }
+  const auto newest = newest_inbound_.find(found->second->node);
+  if (newest != newest_inbound_.end() && newest->second == id) {
+    newest_inbound_.erase(newest);
+  }
   found->second->connection->close(true);
   loop_.defer([old = std::shared_ptr<inbound_link>(std::move(found->second))] {});
   inbound_.erase(found);
@@ -282,7 +288,9 @@
   } else if (const auto* status = std::get_if<status_frame>(&value)) {
     handle_status(link, *status);
   } else if (const auto* load = std::get_if<load_frame>(&value)) {
-    handle_load(link.node, *load);
+    if (plausible(link.node, link.incarnation)) {
+      handle_load(link.node, *load);
+    }
   } else if (auto* digest = std::get_if<digest_frame>(&value)) {
     handle_digest(std::move(*digest));
   } else if (const auto* report = std::get_if<admission::crash_report>(&value)) {
@@ -301,7 +309,21 @@
     return;
   }
   link.node = status.node;
-  store_status(status);
+  link.incarnation = status.incarnation;
+  auto& newest = newest_inbound_[status.node];
+  newest = std::max(newest, link.id);
+  if (plausible(status.node, status.incarnation)) {
+    store_status(status);
+  }
+}
+
+bool network::plausible(const std::string& node, std::uint64_t incarnation) const {
+  const auto newest = newest_inbound_.find(node);
+  if (newest == newest_inbound_.end()) {
+    return true;
+  }
+  const auto link = inbound_.find(newest->second);
+  return link == inbound_.end() || link->second->incarnation == incarnation;
 }
 
 void network::store_status(const status_frame& status) {
@@ -340,7 +362,7 @@
 
 void network::handle_digest(digest_frame digest) {
   for (const auto& it : digest.statuses) {
-    if (it.node != options_.node && !it.node.empty()) {
+    if (it.node != options_.node && !it.node.empty() && plausible(it.node, it.incarnation)) {
       store_status(it);
     }
   }
--- a/source/traffic/account_rates.cpp
+++ b/source/traffic/account_rates.cpp
@@ -156,6 +156,10 @@
   const bool complete = whole != whole_reports_.end() && whole->second == incarnation;
   if (scope == usage_scope::whole) {
     whole_reports_[node] = incarnation;
+  } else if (!complete && whole != whole_reports_.end()) {
+    // A relay may still pass on what an earlier start told, and counting it would take the whole
+    // use of that start from the bucket again.
+    return;
   }
   for (const auto& it : usage) {
     bucket& value = find_bucket(now, it.account);
--- a/tests/fleet/frames_test.cpp
+++ b/tests/fleet/frames_test.cpp
@@ -216,3 +216,35 @@
   }
   CHECK(other.loads.empty());
 }
+
+TEST_CASE(
+    "What a relay still tells of an earlier start does not replace what the node itself tells") {
+  event::loop loop;
+  peer restarted(loop, "a1", first_port, "one");
+  peer relay(loop, "a2", first_port + 2, "one");
+  peer other(loop, "b1", second_port, "two");
+  for (auto* it : {&restarted, &relay, &other}) {
+    REQUIRE(it->links.listen());
+  }
+  restarted.links.add_node("b1", "two", {"127.0.0.1", second_port});
+  relay.links.add_node("b1", "two", {"127.0.0.1", second_port});
+  REQUIRE(run_until(loop, [&] {
+    return restarted.links.nodes().at("b1").connected && relay.links.nodes().at("b1").connected;
+  }));
+  fleet::status_frame status;
+  status.node = "a1";
+  status.data_centre = "one";
+  status.address = {"127.0.0.1", first_port};
+  status.incarnation = 6;
+  restarted.links.broadcast(status);
+  REQUIRE(run_until(loop, [&] { return other.links.nodes().count("a1") == 1; }));
+  fleet::digest_frame digest;
+  digest.statuses.push_back(status);
+  digest.statuses.back().incarnation = 5;
+  digest.loads.push_back({"a1", 5, {}});
+  digest.loads.push_back({"a1", 6, {}});
+  relay.links.send_digest(digest, 0);
+  REQUIRE(run_until(loop, [&] { return !other.loads.empty(); }));
+  CHECK(other.loads.size() == 1);
+  CHECK(other.links.nodes().at("a1").status.incarnation == 6);
+}
--- a/tests/traffic/traffic_test.cpp
+++ b/tests/traffic/traffic_test.cpp
@@ -206,6 +206,25 @@
   CHECK(fleet.admitted.size() <= 14 + 5);
 }
 
+TEST_CASE("A late report of an earlier start of a node is not counted again") {
+  traffic::account_rates rates(true, 1);
+  rates.set_fleet_size(2);
+  const auto account = make_account(10, 100);
+  time_point now{seconds(100)};
+  CHECK_FALSE(rates.ask(now, account));
+  rates.heard(now, "n", 1, {}, traffic::usage_scope::whole);
+  rates.heard(now, "n", 1, {{"a", 150, 1}}, traffic::usage_scope::changes);
+  now += seconds(18);
+  rates.heard(now, "n", 2, {}, traffic::usage_scope::whole);
+  rates.heard(now, "n", 2, {{"a", 1, 1}}, traffic::usage_scope::changes);
+  rates.heard(now, "n", 1, {{"a", 150, 1}}, traffic::usage_scope::changes);
+  rates.heard(now, "n", 2, {{"a", 2, 1}}, traffic::usage_scope::changes);
+  for (int i = 0; i < 5; ++i) {
+    CHECK_FALSE(rates.ask(now, account));
+    rates.changed(now);
+  }
+}
+
 TEST_CASE("A split deals requests in the proportions of the weights at any length") {
   traffic::route route;
   route.name = "r";
