--- a/tests/soak/caller.cpp
+++ b/tests/soak/caller.cpp
@@ -9,13 +9,11 @@
 constexpr milliseconds deadline{1'500};
 /// A caller leaves this long after its deadline at the latest.
 constexpr milliseconds patience{2'000};
-constexpr milliseconds usual_pause{100};
 
 } // namespace
 
 caller::caller(surroundings& all, soak_run& run, vm& at, std::string account, std::string name)
-    : all_(all), run_(run), vm_(at), account_(std::move(account)), name_(std::move(name)),
-      pause_(usual_pause) {
+    : all_(all), run_(run), vm_(at), account_(std::move(account)), name_(std::move(name)) {
   send_later();
 }
 
--- a/tests/soak/caller.h
+++ b/tests/soak/caller.h
@@ -35,7 +35,7 @@
   std::string account_;
   std::string name_;
   std::string key_;
-  milliseconds pause_;
+  milliseconds pause_{100};
   std::unique_ptr<event::stream> stream_;
   http::response_reader reader_{http::message_limits{}};
   std::string id_;
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -21,6 +21,11 @@
 /// Least part of the requests that must be served after all faults (no fault is left then, and
 /// demand is within capacity and rates).
 constexpr double served_after_faults = 0.9;
+/// Mean pause of a caller for each VM, so that the demand of fleets of any size, about 150 requests
+/// a second, stays within the accounts' rates.
+constexpr milliseconds caller_pause_per_vm{17};
+/// Mean pause of callers of an account that surges.
+constexpr milliseconds surge_pause{10};
 /// Mean pause between two faults; they overlap.
 constexpr milliseconds fault_pause{700};
 
@@ -86,6 +91,10 @@
   }
 }
 
+milliseconds soak_run::usual_pause() const {
+  return caller_pause_per_vm * vms_.size();
+}
+
 milliseconds soak_run::between(int low, int high) {
   return milliseconds(low + static_cast<int>(random_() % static_cast<std::uint64_t>(high - low)));
 }
@@ -156,8 +165,9 @@
   note(account + " sends several times its usual");
   for (auto& it : callers_) {
     if (it->account() == account) {
-      it->set_pause(milliseconds(10));
-      loop_.after(between(1'000, 4'000), [one = it.get()] { one->set_pause(milliseconds(100)); });
+      it->set_pause(surge_pause);
+      loop_.after(between(1'000, 4'000),
+                  [one = it.get(), usual = usual_pause()] { one->set_pause(usual); });
     }
   }
 }
@@ -291,6 +301,7 @@
       callers_.push_back(std::make_unique<caller>(all_, *this, *vms_[i % vms_.size()],
                                                   account_name(i / vms_.size() % accounts),
                                                   "c" + std::to_string(i)));
+      callers_.back()->set_pause(usual_pause());
       callers_.back()->set_key(keys_[i / vms_.size() % accounts]);
     }
     plan_faults();
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -67,6 +67,8 @@
   void surge();
   vm& any_vm() { return *vms_[random_() % vms_.size()]; }
   milliseconds between(int low, int high);
+  /// @return mean pause of a caller between an answer and its next request.
+  milliseconds usual_pause() const;
   void note(const std::string& what);
 
   soak_options options_;
