--- a/source/fleet/fleet.h
+++ b/source/fleet/fleet.h
@@ -6,6 +6,7 @@
 /// payload in cereal's portable binary format.
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -156,6 +157,9 @@
   /// `accounts` holds the usage of every account. Set when a link opens.
   bool whole_usage = false;
   std::vector<traffic::account_usage> accounts;
+  /// `demand`, `calls` and `costs` are set. They are large and change slowly, so most statuses omit
+  /// them, and the receiver keeps what it has.
+  bool has_picture = false;
   std::vector<traffic::class_demand> demand;
   std::vector<traffic::call_ratio> calls;
   std::vector<traffic::route_cost> costs;
@@ -164,7 +168,7 @@
   template <class Archive>
   void serialize(Archive& archive) {
     archive(node, data_centre, address.address, address.port, incarnation, configuration_version,
-            leaving, target, whole_usage, accounts, demand, calls, costs);
+            leaving, target, whole_usage, accounts, has_picture, demand, calls, costs);
   }
 };
 
@@ -191,16 +195,52 @@
 struct digest_frame {
   /// The receiver must forward the digest to the nodes of its data centre.
   bool pass_on = false;
+  std::string data_centre;
+  /// Nodes whose load has changed or must be repeated.
   std::vector<node_load> loads;
   std::vector<status_frame> statuses;
+  /// Demand of all nodes of the data centre; empty when it has changed little.
+  std::vector<traffic::class_demand> demand;
+  /// Call graph as its nodes have measured it; empty in most digests.
+  std::vector<traffic::call_ratio> calls;
+  std::vector<traffic::route_cost> costs;
 
   bool operator==(const digest_frame&) const = default;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(pass_on, loads, statuses);
+    archive(pass_on, data_centre, loads, statuses, demand, calls, costs);
   }
 };
 
+/// Decides on a relay what the next digest contains. Bytes between data centres are billed, so the
+/// load of a node is repeated only when it has changed, or when other data centres would soon take
+/// the node for silent.
+class digest_builder {
+ public:
+  /// Adds a load that a node of this data centre has sent.
+  void add(node_load load);
+  /// Drops the loads added since the last digest; for a node that is not a relay.
+  void discard() { pending_.clear(); }
+  /// @param picture demand, calls and costs of all nodes of this data centre.
+  /// @return what other data centres have to be told now.
+  digest_frame take(time_point now, const traffic::load_picture& picture);
+
+ private:
+  struct sent_load {
+    std::uint64_t incarnation = 0;
+    load_frame load;
+    time_point at{};
+  };
+
+  bool is_due(time_point now, const node_load& pending) const;
+
+  std::map<std::string, node_load> pending_;
+  std::map<std::string, sent_load> sent_;
+  std::vector<traffic::class_demand> sent_demand_;
+  time_point demand_sent_{};
+  time_point graph_sent_{};
+};
+
 /// Asks the receiver for its current configuration.
 struct configuration_request {
   std::uint64_t known_version = 0;
@@ -228,6 +268,9 @@
     std::variant<call_frame, answer_frame, cancel_frame, status_frame, load_frame,
                  configuration_request, configuration_frame, admission::crash_report, digest_frame>;
 
+/// Name of a frame's type for logs and metrics.
+std::string_view type_name(std::size_t frame_index);
+
 /// Size of the payload length, big-endian, that precedes each payload.
 constexpr std::size_t frame_header_bytes = 4;
 /// A frame with a larger payload closes the connection. The store limits a configuration to 1 MB;
@@ -261,6 +304,12 @@
   bool connected = false;
 };
 
+/// Bytes sent to other nodes since the start, by frame type (index in `frame`).
+struct sent_bytes {
+  std::array<std::uint64_t, std::variant_size_v<frame>> within_data_centre{};
+  std::array<std::uint64_t, std::variant_size_v<frame>> between_data_centres{};
+};
+
 struct network_options {
   std::string node;
   std::string data_centre;
@@ -291,6 +340,8 @@
   /// Called after the entry has been updated with the new load.
   /// @param near the node is in this data centre, so its load came from the node itself.
   std::function<void(const node_entry&, const load_frame&, bool near)> on_load;
+  /// Another data centre has reported its demand or call graph; empty parts are unchanged.
+  std::function<void(const digest_frame&)> on_summary;
   std::function<void(const admission::crash_report&)> on_crash_report;
   /// @return the current configuration, if it is newer than the given version.
   std::function<std::optional<configuration_frame>(std::uint64_t known)> on_configuration_request;
@@ -327,9 +378,9 @@
   /// Sends a frame to every connected node of this data centre.
   void broadcast_near(const frame& value);
   /// Sends a digest to one node of each other data centre, which forwards it to the others there.
-  /// @param rank 0 for the first relay of this data centre, 1 for the second. Each chooses a
-  /// different receiver, so that the loss of one node does not stop the states of all.
-  void send_digest(digest_frame digest, std::size_t rank);
+  /// @param choice number by which the receiver is chosen. The relays of a data centre use different
+  /// ones, so that the loss of one node does not stop the states of all.
+  void send_digest(digest_frame digest, std::size_t choice);
   /// @return this node's rank among the relays of its data centre, or nothing if it isn't a relay.
   std::optional<std::size_t> relay_rank() const;
   /// Sends a frame to every node that is connected.
@@ -338,6 +389,14 @@
   void send(const std::string& node, const frame& value);
 
   const std::map<std::string, node_entry>& nodes() const { return nodes_; }
+  /// Nodes whose targets belong to one service, whether or not they are reachable.
+  struct service_nodes {
+    std::vector<const node_entry*> within_data_centre;
+    std::vector<const node_entry*> elsewhere;
+  };
+  /// @return the nodes of the service, or null if there is none.
+  const service_nodes* nodes_of(const std::string& service) const;
+  const sent_bytes& sent() const { return sent_; }
   /// @return true if the node is connected and its state is recent enough to send it calls.
   bool reachable(const node_entry& node) const;
 
@@ -345,6 +404,11 @@
   struct outbound_link;
   struct inbound_link;
 
+  /// Sends one encoded frame and counts its bytes.
+  void transmit(event::stream& to, const std::string& data_centre, std::size_t frame_index,
+                const std::string& bytes);
+  /// Sends a frame over the link that a peer opened.
+  void reply(inbound_link& link, const frame& value);
   void connect(const std::string& name);
   void link_lost(const std::string& name, const std::string& why);
   void on_outbound_data(const std::string& name);
@@ -356,6 +420,8 @@
   void handle_load(const std::string& name, const load_frame& load);
   void handle_digest(digest_frame digest);
   void store_status(const status_frame& status);
+  /// Moves a node in the index by service.
+  void index_service(const node_entry& node, const std::string& before, const std::string& after);
   /// @return false if the node's newest direct link reported a different incarnation. Rejects
   /// states of an earlier start of the node that older links or relays still deliver.
   bool is_current_incarnation(const std::string& node, std::uint64_t incarnation) const;
@@ -365,11 +431,14 @@
   network_events callbacks_;
   std::unique_ptr<event::listener> listener_;
   std::map<std::string, node_entry> nodes_;
+  /// Index of `nodes_`, so that the choice of a target does not visit the whole fleet.
+  std::unordered_map<std::string, service_nodes> by_service_;
   std::map<std::string, std::unique_ptr<outbound_link>> outbound_;
   std::unordered_map<std::uint64_t, std::unique_ptr<inbound_link>> inbound_;
   /// Newest open link from each node. Its incarnation takes precedence over those that relays
   /// still send.
   std::map<std::string, std::uint64_t> newest_inbound_;
+  sent_bytes sent_;
   std::uint64_t next_connection_ = 1;
   std::uint64_t next_call_ = 1;
 };
--- a/source/fleet/network.cpp
+++ b/source/fleet/network.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 #include "fleet/fleet.h"
 
@@ -77,9 +78,40 @@
     loop_.cancel(link->second->reconnect);
     outbound_.erase(link);
   }
+  index_service(nodes_.at(name), nodes_.at(name).status.target.service, "");
   nodes_.erase(name);
 }
 
+void network::index_service(const node_entry& node, const std::string& before,
+                            const std::string& after) {
+  if (before == after) {
+    return;
+  }
+  if (const auto found = by_service_.find(before); found != by_service_.end()) {
+    std::erase(found->second.within_data_centre, &node);
+    std::erase(found->second.elsewhere, &node);
+  }
+  if (!after.empty()) {
+    auto& indexed = by_service_[after];
+    auto& nodes = node.data_centre == options_.data_centre ? indexed.within_data_centre
+                                                           : indexed.elsewhere;
+    nodes.push_back(&node);
+  }
+}
+
+const network::service_nodes* network::nodes_of(const std::string& service) const {
+  const auto found = by_service_.find(service);
+  return found == by_service_.end() ? nullptr : &found->second;
+}
+
+void network::transmit(event::stream& to, const std::string& data_centre, std::size_t frame_index,
+                       const std::string& bytes) {
+  auto& sent = data_centre == options_.data_centre ? sent_.within_data_centre
+                                                   : sent_.between_data_centres;
+  sent[frame_index] += bytes.size();
+  to.send(bytes);
+}
+
 void network::connect(const std::string& name) {
   auto& link = outbound_[name];
   if (!link) {
@@ -182,7 +214,8 @@
   ++entry->second.outstanding;
   ++entry->second.sent_since_report;
   const std::uint64_t id = value.id;
-  link.connection->send(encode(std::move(value)));
+  const frame wire(std::move(value));
+  transmit(*link.connection, entry->second.data_centre, wire.index(), encode(wire));
   return id;
 }
 
@@ -195,23 +228,29 @@
   if (link.pending_calls.erase(id) != 0) {
     entry->second.outstanding -= std::min<std::uint32_t>(entry->second.outstanding, 1);
     if (link.connection) {
-      link.connection->send(encode(cancel_frame{id}));
+      const frame wire(cancel_frame{id});
+      transmit(*link.connection, entry->second.data_centre, wire.index(), encode(wire));
     }
   }
 }
 
 void network::answer(std::uint64_t connection, const answer_frame& value) {
-  const auto found = inbound_.find(connection);
-  if (found != inbound_.end()) {
-    found->second->connection->send(encode(value));
+  if (const auto found = inbound_.find(connection); found != inbound_.end()) {
+    reply(*found->second, value);
   }
 }
 
+void network::reply(inbound_link& link, const frame& value) {
+  const auto peer = nodes_.find(link.node);
+  transmit(*link.connection, peer == nodes_.end() ? "" : peer->second.data_centre, value.index(),
+           encode(value));
+}
+
 void network::broadcast(const frame& value) {
   const std::string bytes = encode(value);
   for (auto& [name, link] : outbound_) {
     if (link->connection && link->connection->connected()) {
-      link->connection->send(bytes);
+      transmit(*link->connection, nodes_.at(name).data_centre, value.index(), bytes);
     }
   }
 }
@@ -220,7 +259,8 @@
   const auto found = outbound_.find(node);
   if (found != outbound_.end() && found->second->connection &&
       found->second->connection->connected()) {
-    found->second->connection->send(encode(value));
+    transmit(*found->second->connection, nodes_.at(node).data_centre, value.index(),
+             encode(value));
   }
 }
 
@@ -301,7 +341,7 @@
     callbacks_.on_crash_report(*report);
   } else if (const auto* asked = std::get_if<configuration_request>(&value)) {
     if (auto text = callbacks_.on_configuration_request(asked->known_version)) {
-      link.connection->send(encode(std::move(*text)));
+      reply(link, std::move(*text));
     }
   } else if (const auto* configuration = std::get_if<configuration_frame>(&value)) {
     callbacks_.on_configuration(*configuration);
@@ -338,7 +378,13 @@
     return;
   }
   node_entry& node = found->second;
-  node.status = status;
+  status_frame previous = std::exchange(node.status, status);
+  index_service(node, previous.target.service, status.target.service);
+  if (!status.has_picture && previous.incarnation == status.incarnation) {
+    node.status.demand = std::move(previous.demand);
+    node.status.calls = std::move(previous.calls);
+    node.status.costs = std::move(previous.costs);
+  }
   node.heard = loop_.now();
   node.sent_since_report = 0;
   callbacks_.on_status(status);
@@ -378,6 +424,9 @@
       handle_load(it.node, it.load);
     }
   }
+  if (!digest.demand.empty() || !digest.calls.empty() || !digest.costs.empty()) {
+    callbacks_.on_summary(digest);
+  }
   if (digest.pass_on) {
     digest.pass_on = false;
     broadcast_near(digest);
@@ -399,14 +448,16 @@
   for (auto& [name, link] : outbound_) {
     const node_entry& node = nodes_.at(name);
     if (node.connected && node.data_centre == options_.data_centre) {
-      link->connection->send(bytes);
+      transmit(*link->connection, node.data_centre, value.index(), bytes);
     }
   }
 }
 
-void network::send_digest(digest_frame digest, std::size_t rank) {
+void network::send_digest(digest_frame digest, std::size_t choice) {
   digest.pass_on = true;
-  const std::string bytes = encode(std::move(digest));
+  digest.data_centre = options_.data_centre;
+  const frame wire(std::move(digest));
+  const std::string bytes = encode(wire);
   std::map<std::string, std::vector<std::string>> connected;
   for (const auto& [name, node] : nodes_) {
     if (node.connected && node.data_centre != options_.data_centre) {
@@ -414,7 +465,8 @@
     }
   }
   for (const auto& [data_centre, names] : connected) {
-    outbound_.at(names[rank % names.size()])->connection->send(bytes);
+    transmit(*outbound_.at(names[choice % names.size()])->connection, data_centre, wire.index(),
+             bytes);
   }
 }
 
--- a/source/sidecar/agent.cpp
+++ b/source/sidecar/agent.cpp
@@ -12,26 +12,28 @@
 constexpr milliseconds load_interval = traffic::account_rates::report_interval;
 /// Minimum interval between account usage reports that are sent ahead of the regular load message.
 constexpr milliseconds early_report_pause{50};
-/// A full status accompanies every n-th load message; its additional fields change slowly.
+/// A status with demand, calls and costs accompanies every n-th load message within a data centre.
 constexpr std::uint64_t status_every = 8;
+/// Statuses are repeated in every n-th digest, in case one was lost with a link.
+constexpr std::uint64_t digest_status_every = 64;
 /// The call graph is recomputed every n load intervals, since that takes about 1 ms.
 constexpr std::uint64_t call_ratios_every = 4;
-/// The standby relay of a data centre sends only every n-th digest: it is there for the failure of
-/// the first relay, and traffic between data centres is billed.
-constexpr std::uint64_t standby_every = 4;
-/// Demand is sent again when a class has changed by more than this fraction of its rate and by more
-/// than this many requests per second.
-constexpr double demand_change = 0.2;
-constexpr double min_demand_change = 0.5;
+/// The standby relay of a data centre sends only every n-th digest, with all usage since its last
+/// one, so that nothing is lost for long with the first relay. Bytes between data centres are
+/// billed.
+constexpr std::uint64_t standby_every = 8;
+/// Demand of a data centre is left out of admission planning when its last report is older.
+constexpr milliseconds summary_lifetime{10'000};
 /// Interval at which timeouts of the target's queue and connections are checked.
 constexpr milliseconds check_interval{10};
 /// Length, in checks, of the intervals in which calls of the target are counted.
 constexpr std::uint64_t observe_every = 5;
 /// Long-poll durations of the store watches. They are long because each call is billed. TCP
-/// keep-alive detects a dead connection within 2 s, and other nodes announce a newer configuration
-/// version within one load interval.
-constexpr milliseconds configuration_wait{10'000};
-constexpr milliseconds node_wait{25'000};
+/// keep-alive detects a dead connection within 2 s.
+constexpr milliseconds relay_configuration_wait{10'000};
+constexpr milliseconds longest_wait{29'000};
+/// Nodes that start together appear in the store within about half a second.
+constexpr milliseconds node_watch_pause{500};
 constexpr milliseconds store_timeout{1'500};
 /// A node that is silent for longer than this is considered lost, and its shares are released.
 constexpr seconds forget_after{20};
@@ -44,24 +46,11 @@
 /// requests are counted at other times than retries, and lost nodes may have used their part.
 constexpr double retry_ratio_fraction = 0.7;
 constexpr double retry_reserve_fraction = 0.5;
+/// Interval at which the bytes sent to other nodes are logged.
+constexpr milliseconds traffic_log_interval{10'000};
 /// Minimum change of a class's admitted fraction that is logged.
 constexpr double logged_fraction_change = 0.1;
 
-bool demand_changed(const std::vector<traffic::class_demand>& before,
-                    const std::vector<traffic::class_demand>& now) {
-  if (before.size() != now.size()) {
-    return true;
-  }
-  for (std::size_t i = 0; i < now.size(); ++i) {
-    const double difference = std::abs(now[i].rate - before[i].rate);
-    if (before[i].kind != now[i].kind || before[i].service != now[i].service ||
-        difference > std::max(min_demand_change, before[i].rate * demand_change)) {
-      return true;
-    }
-  }
-  return false;
-}
-
 http_service::events handle_requests(std::function<void(connection_id, http::request&)> handler) {
   return {.on_request = std::move(handler), .on_caller_gone = [](connection_id) {}};
 }
@@ -72,8 +61,9 @@
     : loop_(loop), settings_(values), incarnation_(random_id().low), log_(loop, values.name),
       rates_(values.first_start, incarnation_), budget_({}), crashes_({}),
       writer_(loop, values.store_address), health_(loop, values.upstream_address),
-      started_(loop.now()) {
+      configuration_fetch_(incarnation_), started_(loop.now()) {
   set_retry_budget();
+  rates_.set_tolerance(values.account_tolerance);
   fleet::network_options network;
   network.node = values.name;
   network.data_centre = values.data_centre;
@@ -90,6 +80,7 @@
           .on_status = [this](const fleet::status_frame& status) { on_status(status); },
           .on_load = [this](const fleet::node_entry& node, const fleet::load_frame& load,
                             bool near) { on_load(node, load, near); },
+          .on_summary = [this](const fleet::digest_frame& digest) { on_summary(digest); },
           .on_crash_report =
               [this](const admission::crash_report& report) {
                 crashes_.heard_report(loop_.now(), report);
@@ -111,7 +102,7 @@
                                .field("peer", node.name)
                                .field("address", to_string(node.address)));
                 if (connected) {
-                  auto status = make_status();
+                  auto status = make_status(false);
                   status.whole_usage = true;
                   status.accounts = rates_.whole();
                   nodes_->send(node.name, status);
@@ -140,12 +131,13 @@
   metrics_ = std::make_unique<http_service>(
       loop, handle_requests([this](connection_id from, http::request&) { on_metrics(from); }));
   router_options routing;
+  routing.node = values.name;
   routing.service = values.service;
-  routing.data_centre = values.data_centre;
   router_ = std::make_unique<router>(loop, routing, *callers_, *nodes_, *target_, rates_, budget_,
                                      admission_, demand_, crashes_, log_, counters_);
   configuration_mirror_ = std::make_unique<object_mirror>(
-      loop, values.store_address, std::string(adapter::configuration_kind), configuration_wait,
+      loop, values.store_address, std::string(adapter::configuration_kind),
+      adapter::read_freshness::current, [this] { return configuration_terms(); },
       object_mirror::events{
           .on_object =
               [this](const adapter::stored_object& object) {
@@ -158,7 +150,11 @@
       },
       log_, counters_);
   node_mirror_ = std::make_unique<object_mirror>(
-      loop, values.store_address, std::string(adapter::node_kind), node_wait,
+      loop, values.store_address, std::string(adapter::node_kind),
+      adapter::read_freshness::stale,
+      [] {
+        return watch_terms{longest_wait, adapter::read_freshness::stale, node_watch_pause};
+      },
       object_mirror::events{
           .on_object = [this](const adapter::stored_object& object) { on_node_object(object); },
           .on_removed =
@@ -195,6 +191,7 @@
   node_mirror_->start();
   run_checks();
   end_load_interval();
+  loop_.after(traffic_log_interval, [this] { log_sent_bytes(); });
   return {};
 }
 
@@ -219,6 +216,12 @@
   counters_.set("target_in_flight", static_cast<double>(target_->in_flight()));
   counters_.set("target_queued", static_cast<double>(target_->queued()));
   counters_.set("requests_in_flight", static_cast<double>(router_->in_flight()));
+  for (std::size_t i = 0; i < nodes_->sent().within_data_centre.size(); ++i) {
+    counters_.bytes_sent(fleet::type_name(i), "within_data_centre",
+                         nodes_->sent().within_data_centre[i]);
+    counters_.bytes_sent(fleet::type_name(i), "between_data_centres",
+                         nodes_->sent().between_data_centres[i]);
+  }
   counters_.set("caller_connections", static_cast<double>(callers_->connections()));
   reply(*metrics_, from, 200, counters_.exposition(), "text/plain; version=0.0.4");
 }
@@ -253,6 +256,7 @@
         }
         configuration_ = value;
         configuration_text_ = text;
+        rates_.set_accounts(loop_.now(), value->accounts());
         router_->set_configuration(value);
         http_service_options options;
         options.limits.head_bytes = value->limits().header_bytes;
@@ -264,7 +268,7 @@
                        .field("version", static_cast<std::int64_t>(value->version()))
                        .field("source", source));
         identify_target();
-        send_status();
+        nodes_->broadcast_near(make_load());
         return {};
       },
       [&](const parse_error& error) {
@@ -291,6 +295,8 @@
 void agent::on_node_object(const adapter::stored_object& object) {
   if (object.name == settings_.name) {
     own_object_ = object;
+    // A list may be older than this node's object; an outdated object is replaced now.
+    register_node();
     return;
   }
   if (const auto record = adapter::parse_node_record(object.name, object.content)) {
@@ -300,6 +306,15 @@
   }
 }
 
+watch_terms agent::configuration_terms() const {
+  // The relays learn of a new version at once and announce it. The other nodes fetch it from them,
+  // and their own watch serves for the case that no relay reaches the store.
+  if (nodes_->relay_rank()) {
+    return {relay_configuration_wait, adapter::read_freshness::current, milliseconds(0)};
+  }
+  return {longest_wait, adapter::read_freshness::stale, milliseconds(0)};
+}
+
 void agent::register_node() {
   const adapter::node_record record{settings_.name, settings_.data_centre, settings_.peer_address};
   if (writer_.busy() || leaving_) {
@@ -381,47 +396,70 @@
 void agent::on_status(const fleet::status_frame& status) {
   rates_.heard(loop_.now(), status.node, status.incarnation, status.accounts,
                status.whole_usage ? traffic::usage_scope::whole : traffic::usage_scope::changes);
-  request_newer_configuration(status.node, status.configuration_version);
+  configuration_fetch_.announced(loop_.now(), status.node,
+                                 status.data_centre == settings_.data_centre,
+                                 status.configuration_version, configuration_version());
 }
 
 void agent::on_load(const fleet::node_entry& node, const fleet::load_frame& load, bool near) {
   rates_.heard(loop_.now(), node.name, node.status.incarnation, load.accounts,
                traffic::usage_scope::changes);
   if (near) {
-    fleet::merge_load(local_loads_[node.name], {node.name, node.status.incarnation, load});
+    digest_.add({node.name, node.status.incarnation, load});
   }
-  request_newer_configuration(node.name, load.configuration_version);
+  configuration_fetch_.announced(loop_.now(), node.name, near, load.configuration_version,
+                                 configuration_version());
 }
 
-void agent::request_newer_configuration(const std::string& node, std::uint64_t version) {
-  const std::uint64_t known = configuration_ ? configuration_->version() : 0;
-  if (version > known) {
-    nodes_->send(node, fleet::configuration_request{known});
+void agent::on_summary(const fleet::digest_frame& digest) {
+  remote_summary& summary = remote_summaries_[digest.data_centre];
+  summary.received = loop_.now();
+  if (!digest.demand.empty()) {
+    summary.demand = digest.demand;
+  }
+  if (!digest.calls.empty()) {
+    summary.calls = digest.calls;
+  }
+  if (!digest.costs.empty()) {
+    summary.costs = digest.costs;
+  }
+}
+
+void agent::fetch_configuration() {
+  const std::uint64_t known = configuration_version();
+  if (const auto node = configuration_fetch_.next(loop_.now(), known)) {
+    log_.state(log_line("configuration_requested")
+                   .field("peer", *node)
+                   .field("known", static_cast<std::int64_t>(known)));
+    nodes_->send(*node, fleet::configuration_request{known});
   }
 }
 
-fleet::status_frame agent::make_status() {
+fleet::status_frame agent::make_status(bool with_picture) {
   fleet::status_frame status;
   status.node = settings_.name;
   status.data_centre = settings_.data_centre;
   status.address = settings_.peer_address;
   status.incarnation = incarnation_;
-  status.configuration_version = configuration_ ? configuration_->version() : 0;
+  status.configuration_version = configuration_version();
   status.leaving = leaving_;
   status.target = target_->status();
-  status.demand = own_demand_;
-  status.calls = own_calls_;
-  status.costs = target_->observer().costs();
+  status.has_picture = with_picture;
+  if (with_picture) {
+    status.demand = own_demand_;
+    status.calls = own_calls_;
+    status.costs = target_->observer().costs();
+  }
   return status;
 }
 
 void agent::send_status() {
-  nodes_->broadcast(make_status());
+  nodes_->broadcast(make_status(false));
 }
 
 fleet::load_frame agent::make_load() {
   fleet::load_frame load;
-  load.configuration_version = configuration_ ? configuration_->version() : 0;
+  load.configuration_version = configuration_version();
   load.leaving = leaving_;
   const auto target = target_->status();
   load.ready = target.ready;
@@ -429,40 +467,72 @@
   load.in_flight = target.in_flight;
   load.queued = target.queued;
   load.accounts = rates_.changed(loop_.now());
-  if (demand_changed(sent_demand_, own_demand_)) {
+  if (traffic::demand_changed(sent_demand_, own_demand_)) {
     load.demand = own_demand_;
     sent_demand_ = own_demand_;
   }
   return load;
 }
 
-void agent::relay_states(const fleet::load_frame& own, bool with_statuses) {
-  const auto rank = nodes_->relay_rank();
-  if (rank && *rank > 0 && intervals_ % standby_every != 0) {
-    return;
+traffic::load_picture agent::local_picture() const {
+  traffic::load_picture picture;
+  picture.demand = own_demand_;
+  picture.calls = own_calls_;
+  picture.costs = target_->observer().costs();
+  for (const auto& [name, node] : nodes_->nodes()) {
+    if (node.data_centre == settings_.data_centre && nodes_->reachable(node)) {
+      const auto& status = node.status;
+      picture.demand.insert(picture.demand.end(), status.demand.begin(), status.demand.end());
+      picture.calls.insert(picture.calls.end(), status.calls.begin(), status.calls.end());
+      picture.costs.insert(picture.costs.end(), status.costs.begin(), status.costs.end());
+    }
   }
-  const auto loads = std::exchange(local_loads_, {});
+  return picture;
+}
+
+void agent::relay_states(const fleet::load_frame& own) {
+  digest_.add({settings_.name, incarnation_, own});
+  const auto rank = nodes_->relay_rank();
   if (!rank) {
+    digest_.discard();
     return;
   }
-  fleet::digest_frame digest;
-  digest.loads.push_back({settings_.name, incarnation_, own});
-  for (const auto& [name, it] : loads) {
-    digest.loads.push_back(it);
+  if (*rank > 0 && intervals_ % standby_every != 0) {
+    return;
   }
-  if (with_statuses) {
-    digest.statuses.push_back(make_status());
+  auto digest = digest_.take(loop_.now(), local_picture());
+  if (intervals_ % digest_status_every == 0) {
+    digest.statuses.push_back(make_status(false));
     for (const auto& [name, node] : nodes_->nodes()) {
       if (node.data_centre == settings_.data_centre && nodes_->reachable(node)) {
-        digest.statuses.push_back(node.status);
-        digest.statuses.back().whole_usage = false;
-        digest.statuses.back().accounts.clear();
+        auto& status = digest.statuses.emplace_back(node.status);
+        status.whole_usage = false;
+        status.accounts.clear();
+        status.has_picture = false;
+        status.demand.clear();
+        status.calls.clear();
+        status.costs.clear();
       }
     }
   }
   nodes_->send_digest(std::move(digest), *rank);
 }
 
+void agent::log_sent_bytes() {
+  const auto& sent = nodes_->sent();
+  for (std::size_t i = 0; i < sent.within_data_centre.size(); ++i) {
+    if (sent.within_data_centre[i] + sent.between_data_centres[i] != 0) {
+      log_.state(log_line("bytes_sent")
+                     .field("frame", fleet::type_name(i))
+                     .field("within_data_centre",
+                            static_cast<std::int64_t>(sent.within_data_centre[i]))
+                     .field("between_data_centres",
+                            static_cast<std::int64_t>(sent.between_data_centres[i])));
+    }
+  }
+  loop_.after(traffic_log_interval, [this] { log_sent_bytes(); });
+}
+
 void agent::send_crash_report() {
   const auto report = crashes_.take_report();
   if (!report.empty()) {
@@ -473,19 +543,23 @@
 }
 
 void agent::plan_admission() {
-  traffic::load_picture picture;
-  const auto add = [&](const fleet::status_frame& status) {
-    picture.demand.insert(picture.demand.end(), status.demand.begin(), status.demand.end());
-    picture.calls.insert(picture.calls.end(), status.calls.begin(), status.calls.end());
-    picture.costs.insert(picture.costs.end(), status.costs.begin(), status.costs.end());
-    if (status.target.ready) {
-      picture.capacity[status.target.service] += status.target.slots;
+  traffic::load_picture picture = local_picture();
+  for (const auto& [data_centre, it] : remote_summaries_) {
+    if (loop_.now() - it.received < summary_lifetime) {
+      picture.demand.insert(picture.demand.end(), it.demand.begin(), it.demand.end());
+      picture.calls.insert(picture.calls.end(), it.calls.begin(), it.calls.end());
+      picture.costs.insert(picture.costs.end(), it.costs.begin(), it.costs.end());
+    }
+  }
+  const auto add_target = [&](const fleet::target_status& target) {
+    if (target.ready) {
+      picture.capacity[target.service] += target.slots;
     }
   };
-  add(make_status());
+  add_target(target_->status());
   for (const auto& [name, node] : nodes_->nodes()) {
     if (nodes_->reachable(node)) {
-      add(node.status);
+      add_target(node.status.target);
     }
   }
   auto plan = traffic::plan_admission(picture, traffic::admission_options{});
@@ -525,7 +599,9 @@
   settings_.retry_ratio = values.retry_ratio;
   settings_.retry_reserve = values.retry_reserve;
   settings_.retry_window = values.retry_window;
+  settings_.account_tolerance = values.account_tolerance;
   set_retry_budget();
+  rates_.set_tolerance(values.account_tolerance);
   const bool restart_needed = values != settings_;
   log_.state(log_line("settings_reloaded").field("restart_needed", restart_needed ? 1 : 0));
 }
@@ -550,10 +626,9 @@
     target_->observer().end_interval(loop_.now());
   }
   if (rates_.report_due() && loop_.now() - usage_sent_at_ >= early_report_pause) {
-    // Sent to every node directly, since relays would forward it too late.
-    usage_sent_at_ = loop_.now();
-    nodes_->broadcast(make_load());
+    report_usage();
   }
+  fetch_configuration();
   log_.flush();
   if (leaving_) {
     check_shutdown();
@@ -561,6 +636,18 @@
   loop_.after(check_interval, [this] { run_checks(); });
 }
 
+void agent::report_usage() {
+  // Sent without waiting for the relays' next digest, but along the same paths, since a copy for
+  // each node of other data centres would be billed.
+  usage_sent_at_ = loop_.now();
+  auto load = make_load();
+  nodes_->broadcast_near(load);
+  load.demand.clear();
+  fleet::digest_frame digest;
+  digest.loads.push_back({settings_.name, incarnation_, std::move(load)});
+  nodes_->send_digest(std::move(digest), hash64(settings_.name));
+}
+
 void agent::end_load_interval() {
   own_demand_ = demand_.end_interval(load_interval);
   const bool with_status = ++intervals_ % status_every == 0;
@@ -571,9 +658,9 @@
   const auto load = make_load();
   nodes_->broadcast_near(load);
   if (with_status) {
-    nodes_->broadcast_near(make_status());
+    nodes_->broadcast_near(make_status(true));
   }
-  relay_states(load, with_status);
+  relay_states(load);
   send_crash_report();
   plan_admission();
   forget_lost_nodes();
--- a/source/sidecar/agent.h
+++ b/source/sidecar/agent.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "fleet/fleet.h"
+#include "sidecar/configuration_fetch.h"
 #include "sidecar/event_log.h"
 #include "sidecar/http_service.h"
 #include "sidecar/instruments.h"
@@ -33,29 +34,47 @@
   event_log& log() { return log_; }
 
  private:
+  struct remote_summary {
+    std::vector<traffic::class_demand> demand;
+    std::vector<traffic::call_ratio> calls;
+    std::vector<traffic::route_cost> costs;
+    time_point received{};
+  };
+
   void on_peer_call(std::uint64_t connection, fleet::call_frame call);
   void on_peer_cancel(std::uint64_t connection, std::uint64_t call);
   void on_peer_gone(std::uint64_t connection);
   void on_status(const fleet::status_frame& status);
   void on_load(const fleet::node_entry& node, const fleet::load_frame& load, bool near);
-  void relay_states(const fleet::load_frame& own, bool with_statuses);
-  void request_newer_configuration(const std::string& node, std::uint64_t version);
+  void relay_states(const fleet::load_frame& own);
+  void on_summary(const fleet::digest_frame& digest);
+  void fetch_configuration();
+  std::uint64_t configuration_version() const {
+    return configuration_ ? configuration_->version() : 0;
+  }
   void on_announcement(connection_id from, http::request& message);
   void on_ready(connection_id from);
   void on_metrics(connection_id from);
   void apply_configuration(const std::string& text, const std::string& source);
   void on_node_object(const adapter::stored_object& object);
+  watch_terms configuration_terms() const;
   void register_node();
   void identify_target();
   void send_status();
   fleet::load_frame make_load();
   void send_crash_report();
-  fleet::status_frame make_status();
+  void log_sent_bytes();
+  /// @param with_picture includes demand, calls and costs.
+  fleet::status_frame make_status(bool with_picture);
+  /// @return demand, calls and costs of the nodes of this data centre.
+  traffic::load_picture local_picture() const;
   void plan_admission();
   void forget_lost_nodes();
   void set_retry_budget();
   void log_admission(const traffic::admission_plan& plan);
   void run_checks();
+  /// Tells all nodes the use of accounts ahead of the regular load message.
+  void report_usage();
   void end_load_interval();
   void check_shutdown();
   void reply(http_service& service, connection_id to, int status, const std::string& body,
@@ -98,8 +117,11 @@
   time_point usage_sent_at_{};
   std::uint64_t ticks_ = 0;
   std::uint64_t intervals_ = 0;
-  /// Loads received from nodes of this data centre since the last digest.
-  std::map<std::string, fleet::node_load> local_loads_;
+  /// States of this data centre's nodes for the next digest.
+  fleet::digest_builder digest_;
+  /// Demand and call graph of each other data centre.
+  std::map<std::string, remote_summary> remote_summaries_;
+  configuration_fetch configuration_fetch_;
   std::size_t nodes_present_ = 1;
   time_point started_;
   bool leaving_ = false;
--- a/source/sidecar/instruments.cpp
+++ b/source/sidecar/instruments.cpp
@@ -34,6 +34,10 @@
                   .Name("damaskledge_node")
                   .Help("State of the node, by value.")
                   .Register(*registry_)),
+      bytes_sent_(prometheus::BuildGauge()
+                      .Name("damaskledge_peer_sent_bytes")
+                      .Help("Bytes sent to other nodes since the start, by frame and scope.")
+                      .Register(*registry_)),
       callers_left_(counter_family(*registry_, "damaskledge_callers_left_total",
                                    "Callers that left before their answer.")
                         .Add({})) {}
@@ -76,6 +80,12 @@
   counter->Increment();
 }
 
+void instruments::bytes_sent(std::string_view frame, const std::string& scope,
+                             std::uint64_t total) {
+  bytes_sent_.Add({{"frame", std::string(frame)}, {"scope", scope}})
+      .Set(static_cast<double>(total));
+}
+
 void instruments::set(const std::string& name, double value) {
   gauges_.Add({{"value", name}}).Set(value);
 }
--- a/source/sidecar/instruments.h
+++ b/source/sidecar/instruments.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
@@ -26,6 +27,8 @@
   void repeated(const std::string& route);
   void caller_left() { callers_left_.Increment(); }
   void store_call(const std::string& result);
+  /// @param total bytes since the start.
+  void bytes_sent(std::string_view frame, const std::string& scope, std::uint64_t total);
   void set(const std::string& name, double value);
   std::string exposition() const;
 
@@ -37,6 +40,7 @@
   prometheus::Family<prometheus::Counter>& store_calls_;
   prometheus::Family<prometheus::Histogram>& latency_;
   prometheus::Family<prometheus::Gauge>& gauges_;
+  prometheus::Family<prometheus::Gauge>& bytes_sent_;
   prometheus::Counter& callers_left_;
   /// Children by their labels; the library's own look-up copies the label map on each call.
   std::map<std::string, prometheus::Counter*> counters_;
--- a/source/sidecar/router.cpp
+++ b/source/sidecar/router.cpp
@@ -80,7 +80,8 @@
                instruments& counters)
     : loop_(loop), options_(std::move(options)), callers_(callers), nodes_(nodes), target_(target),
       rates_(rates), budget_(budget), admission_(admission), demand_(demand), crashes_(crashes),
-      log_(log), counters_(counters) {}
+      log_(log), counters_(counters),
+      chooser_({}, static_cast<std::uint32_t>(hash64(options_.node))) {}
 
 router::~router() = default;
 
@@ -211,36 +212,41 @@
   return true;
 }
 
-std::optional<router::candidate> router::choose(const exchange& it) {
-  std::optional<candidate> best;
-  const auto consider = [&](const std::string& node, const fleet::target_status& status,
-                            double unreported, double penalty) {
-    if (it.tried.count(node) != 0 || !status.ready || status.service != it.service) {
-      return;
-    }
-    // Breaks ties by a small term that differs from request to request.
-    const double spread = 0.02 * static_cast<double>((choices_ * 7 + hash64(node)) % 16) / 16;
-    const double load =
-        (status.in_flight + status.queued + unreported) / std::max(1U, status.slots) + penalty +
-        spread;
-    if (!best || load < best->load) {
-      best = candidate{node, load};
-    }
+std::optional<std::string> router::choose(const exchange& it) {
+  const auto load_of = [](const fleet::target_status& status, double unreported) {
+    return (status.in_flight + status.queued + unreported) / std::max(1U, status.slots);
   };
-  consider("", target_.status(), 0, 0);
-  for (const auto& [name, node] : nodes_.nodes()) {
-    if (!nodes_.reachable(node) || node.status.leaving) {
-      continue;
+  std::vector<const fleet::node_entry*> sampled;
+  std::vector<traffic::placement_candidate> candidates;
+  const auto sample = [&](const std::vector<const fleet::node_entry*>& nodes, bool near) {
+    const auto usable = [&](std::size_t at) {
+      const fleet::node_entry& node = *nodes[at];
+      return node.status.target.ready && !node.status.leaving && nodes_.reachable(node) &&
+             it.tried.count(node.name) == 0;
+    };
+    for (const std::size_t at : chooser_.sample(nodes.size(), usable)) {
+      const fleet::node_entry& node = *nodes[at];
+      candidates.push_back(
+          {sampled.size(), load_of(node.status.target, node.sent_since_report), near});
+      sampled.push_back(&node);
     }
-    const bool near = node.data_centre == options_.data_centre;
-    consider(name, node.status.target, node.sent_since_report,
-             near ? 0.0 : options_.data_centre_preference);
+  };
+  if (const auto* nodes = nodes_.nodes_of(it.service)) {
+    sample(nodes->within_data_centre, true);
+    sample(nodes->elsewhere, false);
+  }
+  const auto own = target_.status();
+  if (own.ready && own.service == it.service && it.tried.count("") == 0) {
+    candidates.push_back({sampled.size(), load_of(own, 0), true});
+  }
+  const auto* best = chooser_.choose(candidates);
+  if (best == nullptr) {
+    return std::nullopt;
   }
-  return best;
+  return best->id < sampled.size() ? sampled[best->id]->name : std::string();
 }
 
 void router::dispatch(exchange& it) {
-  ++choices_;
   const auto chosen = choose(it);
   const connection_id caller = it.caller;
   if (!chosen) {
@@ -249,11 +255,11 @@
     return;
   }
   budget_.requested(loop_.now(), it.service);
-  it.tried.insert(chosen->node);
-  it.node = chosen->node;
+  it.tried.insert(*chosen);
+  it.node = *chosen;
   it.under_way = true;
   const auto done = [this, caller](answer_frame answer) { on_answer(caller, std::move(answer)); };
-  if (chosen->node.empty()) {
+  if (chosen->empty()) {
     upstream_call call;
     call.request_id = it.request_id;
     call.route = it.route->name;
@@ -287,7 +293,7 @@
   call.fingerprint_low = it.fingerprint.low;
   call.head = it.head;
   call.body = it.body;
-  const auto id = nodes_.call(chosen->node, std::move(call), done);
+  const auto id = nodes_.call(*chosen, std::move(call), done);
   if (!id) {
     dispatch(it);
     return;
--- a/source/sidecar/router.h
+++ b/source/sidecar/router.h
@@ -19,12 +19,10 @@
 namespace damaskledge::sidecar {
 
 struct router_options {
+  /// Name of this node.
+  std::string node;
   /// Service of the target on this VM.
   std::string service;
-  std::string data_centre;
-  /// Load difference, as a fraction of a target's slots, above which a request is sent to another
-  /// data centre. Traffic between data centres is billed.
-  double data_centre_preference = 0.3;
   /// Maximum number of nodes tried for one request.
   unsigned max_nodes = 3;
 };
@@ -50,11 +48,6 @@
 
  private:
   struct exchange;
-  struct candidate {
-    /// Empty for the target of this VM.
-    std::string node;
-    double load = 0;
-  };
 
   bool authenticate(exchange& it, const http::request& message);
   bool read_deadline(exchange& it, const http::request& message);
@@ -62,7 +55,9 @@
   bool is_caller_retry(const id128& fingerprint);
   bool prepare(exchange& it, http::request& message);
   void dispatch(exchange& it);
-  std::optional<candidate> choose(const exchange& it);
+  /// @return the node whose target is to run the request, empty for the target of this VM, or
+  /// nothing if no target can.
+  std::optional<std::string> choose(const exchange& it);
   void on_answer(connection_id caller, fleet::answer_frame answer);
   bool retry(exchange& it, const fleet::answer_frame& answer);
   void on_timeout(connection_id caller);
@@ -85,7 +80,7 @@
   traffic::traffic_splitter splitter_;
   std::unordered_map<connection_id, std::unique_ptr<exchange>> exchanges_;
   bool closed_ = false;
-  std::uint64_t choices_ = 0;
+  traffic::target_chooser chooser_;
   /// Fingerprints of requests that entry admission refused, with the time until which a repetition
   /// counts as a retry by the caller.
   std::unordered_map<id128, time_point, id128_hash> refused_;
--- a/source/sidecar/settings.cpp
+++ b/source/sidecar/settings.cpp
@@ -141,6 +141,7 @@
   reader.read("grace_s", result.grace, max_s);
   reader.read("retry_ratio", result.retry_ratio, 0, 1);
   reader.read("retry_reserve", result.retry_reserve, 0, 1'000'000);
+  reader.read("account_tolerance", result.account_tolerance, 0, 1'000'000);
   reader.read("retry_window_s", result.retry_window, max_s);
   reader.require("name", !result.name.empty());
   reader.require("service", !result.service.empty());
--- a/source/sidecar/sidecar.h
+++ b/source/sidecar/sidecar.h
@@ -42,6 +42,8 @@
   /// Repeats that a service may get besides in one window, over the fleet.
   double retry_reserve = 40;
   seconds retry_window{10};
+  /// Requests that an account may exceed its rate and burst by, over the fleet.
+  double account_tolerance = 0;
 
   bool operator==(const settings&) const = default;
 };
--- a/source/sidecar/store_client.cpp
+++ b/source/sidecar/store_client.cpp
@@ -101,13 +101,14 @@
 }
 
 object_mirror::object_mirror(event::loop& loop, const endpoint& store, std::string kind,
-                             milliseconds wait, events callbacks, event_log& log,
+                             adapter::read_freshness list_freshness,
+                             std::function<watch_terms()> terms, events callbacks, event_log& log,
                              instruments& counters)
-    : loop_(loop), channel_(loop, store), kind_(std::move(kind)), wait_(wait),
-      callbacks_(std::move(callbacks)), log_(log), counters_(counters) {}
+    : loop_(loop), channel_(loop, store), kind_(std::move(kind)), list_freshness_(list_freshness),
+      terms_(std::move(terms)), callbacks_(std::move(callbacks)), log_(log), counters_(counters) {}
 
 void object_mirror::list(const std::string& after) {
-  channel_.call(adapter::list_objects(kind_, after), call_timeout,
+  channel_.call(adapter::list_objects(kind_, after, list_freshness_), call_timeout,
                 [this](const store_answer& answer) { on_page(answer); });
 }
 
@@ -153,7 +154,9 @@
 }
 
 void object_mirror::watch() {
-  channel_.call(adapter::watch_objects(kind_, revision_, wait_), wait_ + watch_margin,
+  const watch_terms terms = terms_();
+  channel_.call(adapter::watch_objects(kind_, revision_, terms.wait, terms.freshness),
+                terms.wait + watch_margin,
                 [this](const store_answer& answer) { on_changes(answer); });
 }
 
@@ -184,7 +187,11 @@
       callbacks_.on_object(it.object);
     }
   }
-  watch();
+  if (const auto pause = terms_().pause; !page->changes.empty() && pause > milliseconds(0)) {
+    loop_.after(pause, [this] { watch(); });
+  } else {
+    watch();
+  }
 }
 
 } // namespace damaskledge::sidecar
--- a/source/sidecar/store_client.h
+++ b/source/sidecar/store_client.h
@@ -64,6 +64,15 @@
   milliseconds current_ = first;
 };
 
+/// How a mirror asks for changes.
+struct watch_terms {
+  /// How long the store holds one watch open. A watch that hangs is detected only after this time.
+  milliseconds wait{10'000};
+  adapter::read_freshness freshness = adapter::read_freshness::current;
+  /// Delay of the next watch after changes, so that changes in quick succession arrive together.
+  milliseconds pause{0};
+};
+
 /// Keeps a copy of all objects of one kind: lists them, then watches for changes.
 class object_mirror {
  public:
@@ -75,9 +84,10 @@
     std::function<void()> on_listed;
   };
 
-  /// @param wait how long the store holds one watch open. A watch that hangs is detected only after
-  /// this time.
-  object_mirror(event::loop& loop, const endpoint& store, std::string kind, milliseconds wait,
+  /// @param list_freshness applies to lists.
+  /// @param terms asked before each watch.
+  object_mirror(event::loop& loop, const endpoint& store, std::string kind,
+                adapter::read_freshness list_freshness, std::function<watch_terms()> terms,
                 events callbacks, event_log& log, instruments& counters);
   void start() { list(""); }
   bool synchronised() const { return synchronised_; }
@@ -92,7 +102,8 @@
   event::loop& loop_;
   store_channel channel_;
   std::string kind_;
-  milliseconds wait_;
+  adapter::read_freshness list_freshness_;
+  std::function<watch_terms()> terms_;
   events callbacks_;
   event_log& log_;
   instruments& counters_;
--- a/source/traffic/account_rates.cpp
+++ b/source/traffic/account_rates.cpp
@@ -13,10 +13,15 @@
 constexpr double unknown_fleet_share = 0.02;
 /// While the bucket holds less than this part of the burst, a node spends only its share of the
 /// refill.
-constexpr double low_level_fraction = 0.3;
+constexpr double low_level_fraction = 0.15;
+/// Above this part of the burst, every node may admit a second request before its next report.
+constexpr double full_level_fraction = 0.3;
 /// Part of the bucket's level that all nodes together may spend between two reports. Reports to
 /// other data centres may take two intervals, so each interval may spend half of the level.
 constexpr double allowance_fraction = 0.5;
+/// Part of the operator's tolerance that deepens the bucket. The rest is left for admissions that
+/// the nodes have not told each other yet.
+constexpr double tolerance_fraction = 0.5;
 /// Nothing is admitted while the bucket is overdrawn by more than this part of the burst. Within
 /// it, admissions that were not reported yet don't stop an account that keeps its rate.
 constexpr double max_overdraft = 0.25;
@@ -33,6 +38,11 @@
   return std::chrono::duration<double>(value).count();
 }
 
+/// @return level of the bucket below which a node spends only its share of the refill.
+double low_level(double burst) {
+  return std::max(1.0, burst * low_level_fraction);
+}
+
 /// @return a hash of the value, evenly distributed over [0, 1).
 double hash_fraction(std::uint64_t value) {
   // Fibonacci hashing: neighbouring seeds lie far apart.
@@ -62,18 +72,18 @@
 }
 
 double account_rates::share(const bucket& value) const {
-  double others = 0;
-  for (const auto& [node, it] : value.remote) {
-    others += it.demand;
-  }
   const double known = std::min(value.demand, value.delivered_demand);
-  const double total = known + others;
+  const double total = known + value.remote_demand;
   const double even =
       fleet_size_ == 0 ? unknown_fleet_share : 1.0 / static_cast<double>(fleet_size_);
   const double own = total <= 0 ? even : known / total;
   return std::max(even, own * reporting_fraction());
 }
 
+double account_rates::initial_share_level(const std::string& account) const {
+  return hash_fraction(hash64(account) ^ seed_);
+}
+
 account_rates::bucket& account_rates::find_or_create_bucket(time_point now,
                                                             const std::string& account) {
   if (!started_) {
@@ -83,36 +93,57 @@
   if (added) {
     found->second.updated = *started_;
     found->second.demand_updated = now;
-    found->second.share_level = hash_fraction(hash64(account) ^ seed_);
+    found->second.share_level = initial_share_level(account);
   }
   return found->second;
 }
 
 account_rates::bucket& account_rates::advance(time_point now, const account& of) {
-  const double burst = std::max(1.0, of.burst);
   bucket& value = find_or_create_bucket(now, of.name);
+  value.rate = of.rate;
+  value.burst = std::max(1.0, of.burst) + tolerance_ * tolerance_fraction;
+  advance(now, of.name, value);
+  return value;
+}
+
+void account_rates::advance(time_point now, const std::string& account, bucket& value) const {
+  const double rate = value.rate;
+  const double burst = value.burst;
+  const double elapsed = in_seconds(now - value.updated);
   if (!value.initialised) {
     value.initialised = true;
     value.level += start_full_ ? burst : 0;
+    // Admissions of other nodes are assumed only since their last reports.
+    value.level += value.remote_rate * elapsed;
+    for (const auto& [node, it] : value.remote) {
+      value.level -= it.rate * in_seconds(now - it.last_report);
+    }
   }
-  const double elapsed = in_seconds(now - value.updated);
   value.updated = now;
   // Nodes that have not reported yet may be using their part of the refill.
-  value.level += of.rate * elapsed * reporting_fraction();
-  for (auto& [node, it] : value.remote) {
-    // A node whose reports stop may still admit requests, so admissions at its last rate are
-    // assumed until it is removed.
-    const double assumed_admissions = it.rate * in_seconds(now - it.last_report);
-    value.level -= assumed_admissions - it.assumed_admissions;
-    it.assumed_admissions = assumed_admissions;
-  }
+  value.level += rate * elapsed * reporting_fraction();
+  // Nodes whose reports stop may still admit requests, so admissions at their last rate are assumed
+  // until their next report or their removal.
+  value.level -= value.remote_rate * elapsed;
   value.level = std::min(value.level, burst);
   advance_demand(now, value);
   const double refill =
-      of.rate * share(value) * (value.level < 0 ? overdrawn_refill_fraction : 1.0);
+      rate * share(value) * (value.level < 0 ? overdrawn_refill_fraction : 1.0);
   value.share_level = std::min(value.share_level + refill * elapsed,
                                std::max(min_share_burst, refill * share_burst_s));
-  return value;
+  if (value.level >= low_level(burst)) {
+    // The share is not spent at this level. If all nodes saved one request of it, a surge over a
+    // large fleet would spend all of them at once when the level falls.
+    value.share_level = std::min(value.share_level, initial_share_level(account));
+  }
+}
+
+void account_rates::set_accounts(time_point now, const std::vector<account>& accounts) {
+  for (const auto& it : accounts) {
+    if (it.rate > 0) {
+      advance(now, it);
+    }
+  }
 }
 
 std::optional<milliseconds> account_rates::ask(time_point now, const account& of) {
@@ -121,22 +152,25 @@
   }
   bucket& value = advance(now, of);
   value.requests_since_update += 1;
-  const double burst = std::max(1.0, of.burst);
-  const bool above_low_level = value.level >= std::max(1.0, burst * low_level_fraction);
+  const double burst = value.burst;
+  const bool above_low_level = value.level >= low_level(burst);
   if (!value.allowance_set) {
+    // Requests of a small account arrive at any node of a large fleet, where its share is far below
+    // one request.
+    const double least = value.level >= burst * full_level_fraction ? 2.0 : 1.0;
     value.unreported_allowance =
-        above_low_level ? std::max(1.0, allowance_fraction * share(value) * value.level) : 0.0;
+        above_low_level ? std::max(least, allowance_fraction * share(value) * value.level) : 0.0;
     value.allowance_set = true;
   }
   // While shares are reserved for nodes that have not reported, the level counts too little of the
   // refill and falls without bound, so it does not show an overdraft.
   const bool overdrawn =
       reporting_fraction() >= 1 && value.level < -std::max(min_overdraft, burst * max_overdraft);
-  if (value.share_level >= 1 && !overdrawn) {
-    value.share_level -= 1;
-  } else if (above_low_level && value.unreported_allowance >= 1) {
+  if (above_low_level && value.unreported_allowance >= 1) {
     value.unreported_allowance -= 1;
     report_due_ = report_due_ || value.unreported_allowance < 1;
+  } else if (value.share_level >= 1 && !overdrawn) {
+    value.share_level -= 1;
   } else {
     const double refill = std::max(0.1, of.rate * share(value));
     return milliseconds(static_cast<std::int64_t>(1'000 * (1 - value.share_level) / refill) + 1);
@@ -169,8 +203,14 @@
   }
   for (const auto& it : usage) {
     bucket& value = find_or_create_bucket(now, it.account);
+    if (value.rate > 0) {
+      // What the bucket could not hold is lost now, before the reported admissions are taken.
+      advance(now, it.account, value);
+    }
     auto [found, added] = value.remote.try_emplace(node);
     remote_usage& remote = found->second;
+    const double assumed_admissions =
+        value.rate > 0 ? remote.rate * in_seconds(now - remote.last_report) : 0.0;
     if (!added && remote.incarnation == incarnation && it.admitted < remote.admitted) {
       // A report that was overtaken by a newer one.
       continue;
@@ -179,20 +219,24 @@
       const double admitted =
           static_cast<double>(it.admitted) - static_cast<double>(remote.admitted);
       const double elapsed = std::max(0.05, in_seconds(now - remote.last_report));
-      value.level -= admitted - remote.assumed_admissions;
+      value.level -= admitted - assumed_admissions;
       // One interval holds few admissions of one node, so that its rate alone is mostly noise.
       const double weight = 1 - std::exp(-elapsed / demand_time_constant_s);
+      const double previous_rate = remote.rate;
       remote.rate += (std::max(0.0, admitted / elapsed) - remote.rate) * weight;
+      value.remote_rate += remote.rate - previous_rate;
     } else {
       // Without an earlier report the count may go back to before this node's start.
       value.level -= added && !has_whole_report ? 0.0 : static_cast<double>(it.admitted);
+      value.level += added ? 0.0 : assumed_admissions;
+      value.remote_rate -= remote.rate;
       remote.rate = 0;
     }
     remote.incarnation = incarnation;
     remote.admitted = it.admitted;
+    value.remote_demand += it.demand - remote.demand;
     remote.demand = it.demand;
     remote.last_report = now;
-    remote.assumed_admissions = 0;
   }
 }
 
@@ -200,7 +244,18 @@
   reporting_nodes_.erase(node);
   whole_report_incarnations_.erase(node);
   for (auto& [name, it] : buckets_) {
-    it.remote.erase(node);
+    const auto found = it.remote.find(node);
+    if (found == it.remote.end()) {
+      continue;
+    }
+    it.remote.erase(found);
+    // Summed anew, so that rounding errors don't accumulate.
+    it.remote_rate = 0;
+    it.remote_demand = 0;
+    for (const auto& [other, usage] : it.remote) {
+      it.remote_rate += usage.rate;
+      it.remote_demand += usage.demand;
+    }
   }
 }
 
--- a/source/traffic/call_observer.cpp
+++ b/source/traffic/call_observer.cpp
@@ -159,7 +159,7 @@
       }
       const double calls = rate * cost->second.seconds / cost->second.runs;
       if (calls >= min_ratio) {
-        result.push_back({parent, child, calls});
+        result.push_back({parent, child, calls, cost->second.runs});
       }
     }
   }
--- a/source/traffic/entry_admission.cpp
+++ b/source/traffic/entry_admission.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <cmath>
 #include <functional>
 #include <set>
 
@@ -17,6 +18,10 @@
 constexpr double max_credit_debt = 20;
 /// Rates below this (requests per second) are removed, so that unused classes leave the table.
 constexpr double min_rate = 0.01;
+/// Demand has changed when a class differs by more than this fraction of its rate and by more than
+/// this many requests per second.
+constexpr double demand_change = 0.2;
+constexpr double min_demand_change = 0.5;
 
 /// Mean cost of each route over the reports of all nodes.
 std::map<std::string, route_cost> merge_costs(const std::vector<route_cost>& reports) {
@@ -32,22 +37,21 @@
   return result;
 }
 
-/// Mean calls of each pair of routes over the reports of all nodes.
-std::map<std::string, std::map<std::string, double>>
-merge_calls(const std::vector<call_ratio>& reports) {
-  std::map<std::string, std::map<std::string, std::pair<double, int>>> sums;
+/// Mean calls of each pair of routes over all runs of the parent. A node reports only the pairs that
+/// it has found significant, so runs at the other nodes count as runs without such calls. Otherwise
+/// a false attribution at one node of a large fleet would count for the whole fleet.
+std::vector<call_ratio> merge_calls(const std::vector<call_ratio>& reports,
+                                    const std::map<std::string, route_cost>& costs) {
+  std::map<std::pair<std::string, std::string>, double> sums;
   for (const auto& it : reports) {
-    auto& [calls, n] = sums[it.parent][it.child];
-    calls += it.calls;
-    ++n;
-  }
-  std::map<std::string, std::map<std::string, double>> result;
-  for (const auto& [parent, children] : sums) {
-    for (const auto& [child, sum] : children) {
-      const double calls = sum.first / sum.second;
-      if (calls >= min_ratio) {
-        result[parent][child] = calls;
-      }
+    sums[{it.parent, it.child}] += it.calls * it.runs;
+  }
+  std::vector<call_ratio> result;
+  for (const auto& [routes, calls] : sums) {
+    const auto parent = costs.find(routes.first);
+    if (parent != costs.end() && parent->second.runs > 0) {
+      const double runs = parent->second.runs;
+      result.push_back({routes.first, routes.second, calls / runs, runs});
     }
   }
   return result;
@@ -57,8 +61,13 @@
   std::map<std::string, route_cost> costs;
   std::map<std::string, std::map<std::string, double>> calls;
 
-  explicit call_graph(const load_picture& picture)
-      : costs(merge_costs(picture.costs)), calls(merge_calls(picture.calls)) {}
+  explicit call_graph(const load_picture& picture) : costs(merge_costs(picture.costs)) {
+    for (const auto& it : merge_calls(picture.calls, costs)) {
+      if (it.calls >= min_ratio) {
+        calls[it.parent][it.child] = it.calls;
+      }
+    }
+  }
 
   /// Computes each route once. A call back to a route that is still being computed is ignored, so
   /// that a cycle among the learned calls does not recurse forever.
@@ -153,6 +162,38 @@
   return result;
 }
 
+load_picture summarise(const load_picture& picture) {
+  load_picture result;
+  std::map<std::pair<request_class, std::string>, double> demand;
+  for (const auto& it : picture.demand) {
+    demand[{it.kind, it.service}] += it.rate;
+  }
+  for (const auto& [key, rate] : demand) {
+    result.demand.push_back({key.first, key.second, rate});
+  }
+  const auto costs = merge_costs(picture.costs);
+  for (const auto& [route, it] : costs) {
+    result.costs.push_back(it);
+  }
+  result.calls = merge_calls(picture.calls, costs);
+  result.capacity = picture.capacity;
+  return result;
+}
+
+bool demand_changed(const std::vector<class_demand>& before, const std::vector<class_demand>& now) {
+  if (before.size() != now.size()) {
+    return true;
+  }
+  for (std::size_t i = 0; i < now.size(); ++i) {
+    const double difference = std::abs(now[i].rate - before[i].rate);
+    if (before[i].kind != now[i].kind || before[i].service != now[i].service ||
+        difference > std::max(min_demand_change, before[i].rate * demand_change)) {
+      return true;
+    }
+  }
+  return false;
+}
+
 admission_plan plan_admission(const load_picture& picture, const admission_options& options) {
   call_graph calls(picture);
   std::vector<planned_class> classes;
--- a/source/traffic/traffic.h
+++ b/source/traffic/traffic.h
@@ -9,7 +9,9 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <numeric>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <string_view>
@@ -182,6 +184,13 @@
   /// get nothing in the first second.
   account_rates(bool start_full, std::uint64_t seed) : start_full_(start_full), seed_(seed) {}
 
+  /// @param requests that an account may have admitted at once beyond its burst: the operator's
+  /// tolerance for counting over a fleet. Without it, requests of a small account that happen to
+  /// coincide would be refused although the account keeps its rate.
+  void set_tolerance(double requests) { tolerance_ = requests; }
+  /// Applies the limits of a configuration. A node that has not received a request of an account
+  /// yet follows its bucket from here on, so that it knows what the others have left of it.
+  void set_accounts(time_point now, const std::vector<account>& accounts);
   /// Counts a request of the account and decides whether to admit it.
   /// @return nothing when admitted, otherwise the time after which a request may be admitted.
   std::optional<milliseconds> ask(time_point now, const account& of);
@@ -214,10 +223,11 @@
     double rate = 0;
     double demand = 0;
     time_point last_report{};
-    /// Admissions that were assumed since the report and are corrected by the next one.
-    double assumed_admissions = 0;
   };
   struct bucket {
+    /// Limits of the account; a rate of 0 is not known yet.
+    double rate = 0;
+    double burst = 0;
     double level = 0;
     /// `level` includes the initial burst. Before the first request it only counts down by what the
     /// other nodes have admitted.
@@ -239,11 +249,17 @@
     double unreported_allowance = 0;
     bool allowance_set = false;
     std::map<std::string, remote_usage> remote;
+    /// Sums over `remote`.
+    double remote_rate = 0;
+    double remote_demand = 0;
   };
 
+  /// @return a level in [0, 1) that differs from node to node.
+  double initial_share_level(const std::string& account) const;
   /// @return the account's bucket; a new one has been filling since this node's start.
   bucket& find_or_create_bucket(time_point now, const std::string& account);
   bucket& advance(time_point now, const account& of);
+  void advance(time_point now, const std::string& account, bucket& value) const;
   void advance_demand(time_point now, bucket& value) const;
   /// @return part of the refill that this node may spend. Its demand counts once the other nodes
   /// have received it; otherwise each node of a restarted fleet would take the whole rate until the
@@ -254,6 +270,7 @@
 
   bool start_full_;
   std::uint64_t seed_;
+  double tolerance_ = 0;
   /// Time of the first call.
   std::optional<time_point> started_;
   /// 0 before it is known.
@@ -300,11 +317,13 @@
   std::string parent;
   std::string child;
   double calls = 0;
+  /// Runs of the parent behind the mean; the weight of this report.
+  double runs = 0;
 
   bool operator==(const call_ratio&) const = default;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(parent, child, calls);
+    archive(parent, child, calls, runs);
   }
 };
 
@@ -414,6 +433,13 @@
   std::map<std::string, double> capacity;
 };
 
+/// Combines the reports of several nodes into one of each class, pair of routes and route, which
+/// yields the same plan.
+load_picture summarise(const load_picture& picture);
+/// @return true if a class has been added or removed, or its rate has changed enough to matter to
+/// admission planning.
+bool demand_changed(const std::vector<class_demand>& before, const std::vector<class_demand>& now);
+
 /// Fraction of each class to admit.
 using admission_plan = std::map<request_class, double>;
 
@@ -461,4 +487,65 @@
   std::vector<class_demand> demand_;
 };
 
+/// A target that may run a request.
+struct placement_candidate {
+  /// Identifies the candidate to the caller.
+  std::size_t id = 0;
+  /// Requests known to be at the target, as a fraction of its slots.
+  double load = 0;
+  bool within_data_centre = true;
+
+  bool operator==(const placement_candidate&) const = default;
+};
+
+struct placement_options {
+  /// Candidates compared for one request, in this data centre and in others.
+  std::size_t sample = 2;
+  /// Load difference above which a request leaves its data centre, since bytes between data centres
+  /// are billed.
+  double data_centre_preference = 0.2;
+};
+
+/// Chooses targets for requests. Loads are known from reports that are up to some hundred
+/// milliseconds old, in which many nodes choose at the same time. If each took the least loaded
+/// target of all, they would all send to the same one until the next report. Each request is
+/// therefore compared on a few random candidates only ("power of two choices", Mitzenmacher 2001).
+class target_chooser {
+ public:
+  target_chooser(placement_options options, std::uint32_t seed)
+      : options_(options), random_(seed) {}
+
+  /// Draws a sample of one group of targets.
+  /// @param n size of the group.
+  /// @param usable tells whether a member may be chosen.
+  /// @return indices of different usable members, at most `placement_options::sample`.
+  template <class Usable>
+  std::vector<std::size_t> sample(std::size_t n, const Usable& usable) {
+    std::vector<std::size_t> result;
+    if (n == 0) {
+      return result;
+    }
+    // A random start and a random stride that visits every member once.
+    std::size_t stride = 1 + random_() % n;
+    while (std::gcd(stride, n) != 1) {
+      ++stride;
+    }
+    std::size_t at = random_() % n;
+    for (std::size_t i = 0; i < n && result.size() < options_.sample; ++i) {
+      if (usable(at)) {
+        result.push_back(at);
+      }
+      at = (at + stride) % n;
+    }
+    return result;
+  }
+
+  /// @return the candidate with the least load, weighted by its distance, or null without one.
+  const placement_candidate* choose(const std::vector<placement_candidate>& candidates) const;
+
+ private:
+  placement_options options_;
+  std::minstd_rand random_;
+};
+
 } // namespace damaskledge::traffic
--- a/tests/fleet/frames_test.cpp
+++ b/tests/fleet/frames_test.cpp
@@ -26,7 +26,7 @@
   status.node = "n1";
   status.accounts.push_back({"account", 5, 2.5});
   status.demand.push_back({{"route", 2}, "search", 3.5});
-  status.calls.push_back({"a", "b", 4});
+  status.calls.push_back({"a", "b", 4, 10});
   status.costs.push_back({"a", "search", 0.04, 100});
   const fleet::frame samples[] = {
       sample_call(),
@@ -36,7 +36,8 @@
       fleet::configuration_request{4},
       fleet::configuration_frame{5, "{}"},
       fleet::load_frame{},
-      fleet::digest_frame{true, {{"n", 3, {}}}, {status}},
+      fleet::digest_frame{
+          true, "one", {{"n", 3, {}}}, {status}, status.demand, status.calls, status.costs},
       admission::crash_report{{{"t", {{{1, 2}, std::chrono::microseconds(9)}}}}, {{3, 4}}}};
   for (const auto& it : samples) {
     const std::string bytes = fleet::encode(it);
@@ -91,6 +92,7 @@
     events.on_load = [this](const fleet::node_entry& node, const fleet::load_frame&, bool) {
       loads.push_back(node.name);
     };
+    events.on_summary = [this](const fleet::digest_frame& it) { summaries.push_back(it); };
     events.on_crash_report = [](const admission::crash_report&) {};
     events.on_configuration_request = [](std::uint64_t) { return std::nullopt; };
     events.on_configuration = [](const fleet::configuration_frame&) {};
@@ -104,6 +106,7 @@
   int callers_gone = 0;
   /// Nodes whose load arrived.
   std::vector<std::string> loads;
+  std::vector<fleet::digest_frame> summaries;
   fleet::network links;
 };
 
--- a/tests/traffic/traffic_test.cpp
+++ b/tests/traffic/traffic_test.cpp
@@ -349,7 +349,8 @@
   traffic::load_picture picture;
   picture.demand = {
       {{"read", 2}, "front", rate}, {{"write", 0}, "front", rate}, {{"plain", 2}, "side", rate}};
-  picture.calls = {{"read", "middle", 1}, {"write", "middle", 1}, {"middle", "deep", 4}};
+  picture.calls = {
+      {"read", "middle", 1, 10}, {"write", "middle", 1, 10}, {"middle", "deep", 4, 10}};
   picture.costs = {{"read", "front", 0.1, 10},
                    {"write", "front", 0.1, 10},
                    {"plain", "side", 0.1, 10},
@@ -399,9 +400,10 @@
   auto picture = chain_load(20);
   for (int i = 0; i < 8; ++i) {
     const std::string name = "x" + std::to_string(i);
-    picture.calls.push_back({"deep", name, 2});
-    picture.calls.push_back({name, "middle", 2});
-    picture.calls.push_back({name, "deep", 2});
+    picture.calls.push_back({"deep", name, 2, 10});
+    picture.calls.push_back({name, "middle", 2, 10});
+    picture.calls.push_back({name, "deep", 2, 10});
+    picture.costs.push_back({name, "deep", 0.01, 10});
   }
   CHECK(traffic::plan_admission(picture, traffic::admission_options{}).size() == 3);
 }
