Prefer faster targets while they have room

Change: each node compares the times of its target's runs with the fleet's, by route, and reports the ratio; weights fall with its square.

--- a/source/fleet/digest_builder.cpp
+++ b/source/fleet/digest_builder.cpp
@@ -31,7 +31,7 @@
   return before.configuration_version != next.configuration_version ||
          before.leaving != next.leaving || before.ready != next.ready ||
          before.slots != next.slots || before.in_flight != next.in_flight ||
-         before.queued != next.queued;
+         before.queued != next.queued || before.slowness != next.slowness;
 }
 
 digest_frame digest_builder::take(time_point now, const traffic::load_picture& picture) {
--- a/source/fleet/fleet.h
+++ b/source/fleet/fleet.h
@@ -114,11 +114,13 @@
   std::uint32_t slots = 0;
   std::uint32_t in_flight = 0;
   std::uint32_t queued = 0;
+  /// See `traffic::relative_slowness`.
+  float slowness = 1;
 
   bool operator==(const target_status&) const = default;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(service, instance, ready, slots, in_flight, queued);
+    archive(service, instance, ready, slots, in_flight, queued, slowness);
   }
 };
 
@@ -132,6 +134,8 @@
   std::uint32_t slots = 0;
   std::uint32_t in_flight = 0;
   std::uint32_t queued = 0;
+  /// See `traffic::relative_slowness`.
+  float slowness = 1;
   /// Accounts whose usage has changed.
   std::vector<traffic::account_usage> accounts;
   /// Offered requests; empty when they have changed little.
@@ -140,7 +144,8 @@
   bool operator==(const load_frame&) const = default;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(configuration_version, leaving, ready, slots, in_flight, queued, accounts, demand);
+    archive(configuration_version, leaving, ready, slots, in_flight, queued, slowness, accounts,
+            demand);
   }
 };
 
--- a/source/fleet/network.cpp
+++ b/source/fleet/network.cpp
@@ -413,6 +413,7 @@
   node.status.target.slots = load.slots;
   node.status.target.in_flight = load.in_flight;
   node.status.target.queued = load.queued;
+  node.status.target.slowness = load.slowness;
   load_reported(node);
   if (!load.demand.empty()) {
     node.status.demand = load.demand;
--- a/source/sidecar/agent.cpp
+++ b/source/sidecar/agent.cpp
@@ -477,6 +477,7 @@
   load.slots = target.slots;
   load.in_flight = target.in_flight;
   load.queued = target.queued;
+  load.slowness = target.slowness;
   load.accounts = rates_.changed(loop_.now());
   if (traffic::demand_changed(sent_demand_, own_demand_)) {
     load.demand = own_demand_;
@@ -573,6 +574,8 @@
       add_target(node.status.target);
     }
   }
+  target_->set_slowness(traffic::relative_slowness(target_->observer().costs(),
+                                                   traffic::summarise(picture).costs));
   auto plan = traffic::plan_admission(picture, traffic::admission_options{});
   log_admission(plan);
   admission_.set_plan(std::move(plan));
--- a/source/sidecar/router.cpp
+++ b/source/sidecar/router.cpp
@@ -240,8 +240,8 @@
     for (const std::size_t at : chooser_.sample(nodes.size(), usable)) {
       const fleet::node_entry& node = *nodes[at];
       const double slots = std::max(1U, node.status.target.slots);
-      candidates.push_back(
-          {sampled.size(), node.load.value() + node.sent_since_report / slots, slots, near});
+      candidates.push_back({sampled.size(), node.load.value() + node.sent_since_report / slots,
+                            slots, near, node.status.target.slowness});
       sampled.push_back(&node);
     }
   };
@@ -252,13 +252,14 @@
   const auto own = target_.status();
   if (own.ready && own.service == it.service && it.tried.count("") == 0) {
     const double slots = std::max(1U, own.slots);
-    candidates.push_back({sampled.size(), (own.in_flight + own.queued) / slots, slots, true});
+    candidates.push_back({sampled.size(), (own.in_flight + own.queued) / slots, slots, true,
+                          own.slowness});
   }
-  const auto* chosen = chooser_.choose(candidates);
-  if (chosen == nullptr) {
+  const auto chosen = chooser_.choose(candidates);
+  if (!chosen) {
     return std::nullopt;
   }
-  return chosen->id < sampled.size() ? sampled[chosen->id]->name : std::string();
+  return *chosen < sampled.size() ? sampled[*chosen]->name : std::string();
 }
 
 void router::dispatch(exchange& it) {
--- a/source/sidecar/upstream_executor.cpp
+++ b/source/sidecar/upstream_executor.cpp
@@ -147,6 +147,7 @@
   result.slots = static_cast<std::uint32_t>(limit());
   result.in_flight = static_cast<std::uint32_t>(running_.size());
   result.queued = static_cast<std::uint32_t>(queue_.size());
+  result.slowness = static_cast<float>(slowness_);
   return result;
 }
 
--- a/source/sidecar/upstream_executor.h
+++ b/source/sidecar/upstream_executor.h
@@ -117,6 +117,8 @@
   target_state state() const { return state_; }
   std::size_t in_flight() const { return running_.size(); }
   std::size_t queued() const { return queue_.size(); }
+  /// Sets how the target compares with the others of its service.
+  void set_slowness(double value) { slowness_ = value; }
   /// @return bytes of unfinished answers that are kept now.
   std::size_t answer_bytes() const { return answer_bytes_; }
   traffic::call_observer& observer() { return observer_; }
@@ -187,6 +189,7 @@
   time_point check_started_{};
   /// Mean time for which a request holds a slot.
   double mean_held_s_ = 0.05;
+  double slowness_ = 1;
   traffic::call_observer observer_;
   traffic::repeat_tracker repeats_;
 };
--- a/source/traffic/placement.cpp
+++ b/source/traffic/placement.cpp
@@ -17,12 +17,37 @@
 /// Time constant of the load average, in seconds; about two intervals between reports.
 constexpr double load_time_constant_s = 0.6;
 
+/// Runs of a target that weigh as much as the assumption that it is as fast as the others.
+constexpr double assumed_runs = 20;
+constexpr double min_slowness = 0.25;
+constexpr double max_slowness = 16;
+/// Steps of a reported slowness for each doubling.
+constexpr double slowness_steps = 4;
+
+/// The square prefers fast targets while they have room, beyond what would use all targets evenly:
+/// a request on a slow target misses its objective although slots are free elsewhere.
 double weight_of(const placement_candidate& it) {
-  return it.slots * std::max(min_weight, full_load - it.load);
+  return it.slots * std::max(min_weight, full_load - it.load) / (it.slowness * it.slowness);
 }
 
 } // namespace
 
+double relative_slowness(const std::vector<route_cost>& own, const std::vector<route_cost>& fleet) {
+  double taken = assumed_runs;
+  double usual = assumed_runs;
+  for (const auto& it : own) {
+    const auto found = std::find_if(fleet.begin(), fleet.end(), [&](const route_cost& other) {
+      return other.route == it.route && other.service == it.service;
+    });
+    if (found != fleet.end() && found->slot_seconds > 0) {
+      taken += it.runs * it.slot_seconds / found->slot_seconds;
+      usual += it.runs;
+    }
+  }
+  const double ratio = std::clamp(taken / usual, min_slowness, max_slowness);
+  return std::exp2(std::round(std::log2(ratio) * slowness_steps) / slowness_steps);
+}
+
 double target_chooser::spill(const std::vector<placement_candidate>& candidates) const {
   double near_load = 0;
   double near_slots = 0;
@@ -45,7 +70,7 @@
   return std::clamp(excess / options_.data_centre_preference, 0.0, 1.0);
 }
 
-const placement_candidate*
+std::optional<std::size_t>
 target_chooser::choose(const std::vector<placement_candidate>& candidates) {
   const double far_part = spill(candidates);
   double total = 0;
@@ -53,13 +78,13 @@
     total += weight_of(it) * (it.within_data_centre ? 1.0 : far_part);
   }
   double left = std::uniform_real_distribution<double>(0, total)(random_);
-  const placement_candidate* chosen = nullptr;
+  std::optional<std::size_t> chosen;
   for (const auto& it : candidates) {
     const double weight = weight_of(it) * (it.within_data_centre ? 1.0 : far_part);
     if (weight <= 0) {
       continue;
     }
-    chosen = &it;
+    chosen = it.id;
     left -= weight;
     if (left <= 0) {
       break;
--- a/source/traffic/traffic.h
+++ b/source/traffic/traffic.h
@@ -517,6 +517,13 @@
   std::vector<class_demand> demand_;
 };
 
+/// Compares one target with the others of its service.
+/// @param own mean times of the target's runs, by route.
+/// @param fleet mean times at all targets.
+/// @return how many times longer runs take at the target, 1 without enough runs. Rounded, so that
+/// it changes seldom.
+double relative_slowness(const std::vector<route_cost>& own, const std::vector<route_cost>& fleet);
+
 /// A target that may run a request.
 struct placement_candidate {
   /// Identifies the candidate to the caller.
@@ -525,6 +532,8 @@
   double load = 0;
   double slots = 1;
   bool within_data_centre = true;
+  /// See `relative_slowness`.
+  double slowness = 1;
 
   bool operator==(const placement_candidate&) const = default;
 };
@@ -565,8 +574,8 @@
     return result;
   }
 
-  /// @return the chosen candidate, or null if there is none.
-  const placement_candidate* choose(const std::vector<placement_candidate>& candidates);
+  /// @return the id of the chosen candidate, or nothing if there is none.
+  std::optional<std::size_t> choose(const std::vector<placement_candidate>& candidates);
 
  private:
   /// @return part of the weight that targets in other data centres get.
--- a/tests/traffic/traffic_test.cpp
+++ b/tests/traffic/traffic_test.cpp
@@ -636,7 +636,7 @@
     choosers.emplace_back(traffic::placement_options{}, i + 1);
   }
   const auto drawn = play_placement([&](std::size_t from, const auto&, const auto& smoothed) {
-    return choosers[from].choose(smoothed)->id;
+    return choosers[from].choose(smoothed).value();
   });
   MESSAGE("waited: ", least_loaded.waited, ", p99 ", least_loaded.wait_p99_ms,
           " ms at the least loaded target; ", drawn.waited, ", p99 ", drawn.wait_p99_ms,
@@ -652,7 +652,7 @@
     int far = 0;
     for (int i = 0; i < 1'000; ++i) {
       far += static_cast<int>(
-          chooser.choose({{0, near_load, 10, true}, {1, far_load, 10, false}})->id);
+          chooser.choose({{0, near_load, 10, true}, {1, far_load, 10, false}}).value());
     }
     return far / 1'000.0;
   };
@@ -661,8 +661,35 @@
   CHECK(far_part(0.9, 0.9) == 0);
   CHECK(far_part(0.9, 0.2) > 0.7);
   CHECK(far_part(1.0, 0.85) > 0.5);
-  CHECK(chooser.choose({}) == nullptr);
-  CHECK(chooser.choose({{7, 2.0, 10, false}})->id == 7);
+  CHECK_FALSE(chooser.choose({}));
+  CHECK(chooser.choose({{7, 2.0, 10, false}}) == 7);
+}
+
+TEST_CASE("A slow target gets few requests while faster ones have room") {
+  // Targets of one service differ in speed. With free slots everywhere, a quarter of the requests
+  // went to a target that took three times as long, and missed their objective.
+  const std::vector<traffic::route_cost> fleet{{"read", "search", 0.2, 1'000},
+                                               {"write", "search", 0.4, 500}};
+  CHECK(traffic::relative_slowness({}, fleet) == 1);
+  CHECK(traffic::relative_slowness({{"read", "search", 0.6, 3}}, fleet) < 1.5);
+  const double slow =
+      traffic::relative_slowness({{"read", "search", 0.6, 150}, {"write", "search", 1.2, 50}}, fleet);
+  CHECK(slow == doctest::Approx(2.83).epsilon(0.05));
+  CHECK(traffic::relative_slowness({{"read", "search", 1e9, 1e9}}, fleet) == 16);
+  traffic::target_chooser chooser({}, 1);
+  const auto slow_part = [&](double load_of_fast) {
+    int n = 0;
+    for (int i = 0; i < 1'000; ++i) {
+      const auto chosen = chooser.choose({{0, 0.2, 10, true, slow},
+                                           {1, load_of_fast, 10, true, 1},
+                                           {2, load_of_fast, 10, true, 1},
+                                           {3, load_of_fast, 10, true, 1}});
+      n += chosen == 0 ? 1 : 0;
+    }
+    return n / 1'000.0;
+  };
+  CHECK(slow_part(0.2) < 0.08);
+  CHECK(slow_part(1.05) > 0.3);
 }
 
 TEST_CASE("A large group is sampled, and each usable member may be chosen") {
