--- a/source/traffic/placement.cpp
+++ b/source/traffic/placement.cpp
@@ -30,6 +30,24 @@
   return it.slots * std::max(min_weight, full_load - it.load) / (it.slowness * it.slowness);
 }
 
+/// Means over the targets of one group.
+struct group_mean {
+  double slots = 0;
+  double load_sum = 0;
+  double weight = 0;
+  double slowness_sum = 0;
+
+  void add(const placement_candidate& it) {
+    slots += it.slots;
+    load_sum += it.load * it.slots;
+    weight += weight_of(it);
+    slowness_sum += it.slowness * weight_of(it);
+  }
+  double load() const { return load_sum / slots; }
+  /// @return the slowness that a request of the group meets on average.
+  double slowness() const { return slowness_sum / weight; }
+};
+
 } // namespace
 
 double relative_slowness(const std::vector<route_cost>& own, const std::vector<route_cost>& fleet) {
@@ -49,25 +67,25 @@
 }
 
 double target_chooser::spill(const std::vector<placement_candidate>& candidates) const {
-  double near_load = 0;
-  double near_slots = 0;
-  double far_load = 0;
-  double far_slots = 0;
+  group_mean near;
+  group_mean far;
   for (const auto& it : candidates) {
-    (it.within_data_centre ? near_load : far_load) += it.load * it.slots;
-    (it.within_data_centre ? near_slots : far_slots) += it.slots;
+    (it.within_data_centre ? near : far).add(it);
   }
-  if (near_slots <= 0 || far_slots <= 0) {
+  if (near.slots <= 0 || far.slots <= 0) {
     return 1;
   }
-  near_load /= near_slots;
-  far_load /= far_slots;
-  if (far_load > near_load - min_gain) {
-    return 0;
+  double by_slowness = 0;
+  if (far.load() < options_.high_load) {
+    by_slowness = near.slowness() / far.slowness() - options_.tolerated_slowness;
+  }
+  double by_load = 0;
+  if (far.load() < near.load() - min_gain) {
+    const double excess = std::max(near.load() - far.load() - options_.data_centre_preference,
+                                   near.load() - options_.high_load);
+    by_load = excess / options_.data_centre_preference;
   }
-  const double excess = std::max(near_load - far_load - options_.data_centre_preference,
-                                 near_load - options_.high_load);
-  return std::clamp(excess / options_.data_centre_preference, 0.0, 1.0);
+  return std::clamp(std::max(by_slowness, by_load), 0.0, 1.0);
 }
 
 std::optional<std::size_t>
--- a/source/traffic/traffic.h
+++ b/source/traffic/traffic.h
@@ -544,6 +544,9 @@
   /// Requests leave their data centre when its mean load exceeds that of the others by this much.
   /// Bytes between data centres are billed.
   double data_centre_preference = 0.2;
+  /// Requests also leave when targets of their data centre take this many times as long as the
+  /// others.
+  double tolerated_slowness = 1.3;
   /// Requests also leave when the mean load of their data centre exceeds this, before they wait.
   double high_load = 0.75;
 };
--- a/tests/traffic/traffic_test.cpp
+++ b/tests/traffic/traffic_test.cpp
@@ -661,6 +661,13 @@
   CHECK(far_part(0.9, 0.9) == 0);
   CHECK(far_part(0.9, 0.2) > 0.7);
   CHECK(far_part(1.0, 0.85) > 0.5);
+  // A data centre whose only target is slow is left although that target has free slots.
+  int far = 0;
+  for (int i = 0; i < 1'000; ++i) {
+    far += static_cast<int>(
+        chooser.choose({{0, 0.3, 10, true, 2.8}, {1, 0.3, 10, false, 1}}).value());
+  }
+  CHECK(far > 800);
   CHECK_FALSE(chooser.choose({}));
   CHECK(chooser.choose({{7, 2.0, 10, false}}) == 7);
 }
