--- a/source/traffic/traffic.h
+++ b/source/traffic/traffic.h
@@ -546,7 +546,7 @@
   double data_centre_preference = 0.2;
   /// Requests also leave when targets of their data centre take this many times as long as the
   /// others.
-  double tolerated_slowness = 1.3;
+  double tolerated_slowness = 1.6;
   /// Requests also leave when the mean load of their data centre exceeds this, before they wait.
   double high_load = 0.75;
 };
