Read and answer what has begun to arrive before a planned stop ends

Cause: an idle node ended 2.5 s after SIGTERM although part of a request had arrived or connections waited to be accepted; their callers saw a closed connection. A test that sends half a request before that moment failed. Change: the node accepts what waits, stops listening, and ends when nothing is being received. What is still open at four fifths of the grace period is logged.

--- a/source/event/event.h
+++ b/source/event/event.h
@@ -70,6 +70,7 @@
   /// Handles what is ready, waiting at most `limit`.
   void run_once(duration limit);
   void stop() { stopped_ = true; }
+  bool stopped() const { return stopped_; }
 
  private:
   struct timer {
--- a/source/sidecar/agent.cpp
+++ b/source/sidecar/agent.cpp
@@ -42,6 +42,10 @@
 constexpr milliseconds readiness_delay{2'500};
 /// Part of the grace period that is reserved for sending the last answers.
 constexpr milliseconds shutdown_margin{600};
+/// Time in which requests on the last accepted connections arrive.
+constexpr milliseconds last_read_delay{100};
+/// What is still open after this fraction of the grace period is logged.
+constexpr double slow_stop_fraction = 0.8;
 /// Fractions of the fleet's retry budget that the nodes use in total. They are below 1 because
 /// requests are counted at other times than retries, and lost nodes may have used their part.
 constexpr double retry_ratio_fraction = 0.7;
@@ -701,8 +705,24 @@
     // A request accepted from now on could still be in flight at the end of the grace period.
     router_->refuse_new_requests();
   }
-  const bool idle = router_->in_flight() == 0 && target_->in_flight() == 0;
-  if ((idle && elapsed > readiness_delay) || elapsed > settings_.grace - shutdown_margin) {
+  const bool idle =
+      router_->in_flight() == 0 && target_->in_flight() == 0 && !callers_->receiving();
+  if (idle && elapsed > readiness_delay && !listening_ended_) {
+    // Requests on connections that wait to be accepted are read and answered before the end.
+    callers_->stop_listening();
+    listening_ended_ = loop_.now();
+  }
+  const bool quiet = idle && listening_ended_ && loop_.now() - *listening_ended_ > last_read_delay;
+  if (elapsed > settings_.grace * slow_stop_fraction && !slow_stop_logged_) {
+    slow_stop_logged_ = true;
+    log_.state(log_line("stopping_slowly")
+                   .field("requests", static_cast<std::int64_t>(router_->in_flight()))
+                   .field("at_target", static_cast<std::int64_t>(target_->in_flight()))
+                   .field("queued", static_cast<std::int64_t>(target_->queued()))
+                   .field("connections", static_cast<std::int64_t>(callers_->connections()))
+                   .field("receiving", callers_->receiving() ? 1 : 0));
+  }
+  if (quiet || elapsed > settings_.grace - shutdown_margin) {
     log_.state(
         log_line("stopped").field("requests_cut", static_cast<std::int64_t>(router_->in_flight())));
     log_.flush();
--- a/source/sidecar/agent.h
+++ b/source/sidecar/agent.h
@@ -127,6 +127,9 @@
   time_point started_;
   bool leaving_ = false;
   time_point leaving_since_{};
+  /// When connections were accepted for the last time.
+  std::optional<time_point> listening_ended_;
+  bool slow_stop_logged_ = false;
 };
 
 } // namespace damaskledge::sidecar
--- a/source/sidecar/http_service.cpp
+++ b/source/sidecar/http_service.cpp
@@ -62,6 +62,21 @@
   return {};
 }
 
+void http_service::stop_listening() {
+  if (listener_) {
+    listener_->on_io(0);
+    loop_.defer([old = std::shared_ptr<event::listener>(std::move(listener_))] {});
+  }
+}
+
+bool http_service::receiving() const {
+  return std::any_of(connections_.begin(), connections_.end(), [](const auto& it) {
+    const connection& value = *it.second;
+    return !value.stream->closing() && (value.reader.state() != http::read_state::idle ||
+                                        !value.stream->input().empty());
+  });
+}
+
 void http_service::accept(int fd) {
   const connection_id id = next_connection_++;
   auto it = std::make_unique<connection>();
--- a/source/sidecar/http_service.h
+++ b/source/sidecar/http_service.h
@@ -47,6 +47,10 @@
   leaf::result<void> listen(const endpoint& at);
   /// Options of requests that arrive from now on.
   void set_options(const http_service_options& options) { options_ = options; }
+  /// Accepts the connections that wait, and no further ones.
+  void stop_listening();
+  /// @return true while part of a request has arrived on a connection and the rest has not.
+  bool receiving() const;
   /// Ends each connection with the answer to the last request that was handed over.
   void close_after_answers() { closing_ = true; }
 
--- a/tests/sidecar/agent_test.cpp
+++ b/tests/sidecar/agent_test.cpp
@@ -339,6 +339,37 @@
   CHECK(served(2) + served(3) == before);
 }
 
+TEST_CASE_FIXTURE(fleet_fixture,
+                  "A request whose first bytes came before the end of a shutdown is answered") {
+  // A node that was otherwise idle ended while part of the request was unread.
+  configure();
+  REQUIRE(settle());
+  auto values = vms[0]->settings;
+  values.grace = seconds(8);
+  vms[0]->node->reload(values);
+  vms[0]->node->shut_down();
+  const auto shutdown_began = loop.refresh_now();
+  // Runs until a time after the begin of the shutdown, or until the process would end.
+  const auto run_to = [&](milliseconds after) {
+    while (loop.now() < shutdown_began + after && !loop.stopped()) {
+      loop.run_once(milliseconds(10));
+    }
+  };
+  run_to(milliseconds(2'300));
+  event::stream stream(loop, {"127.0.0.1", vms[0]->base}, event::stream_options{});
+  http::response_reader reader{http::message_limits{}};
+  reader.start(false);
+  stream.handle({{}, [&] { reader.feed(stream.input()); }, {}});
+  stream.send("GET /read/x HTTP/1.1\r\nHost: h\r\n");
+  run_to(milliseconds(2'900));
+  CHECK_FALSE(loop.stopped());
+  stream.send("X-Request-Id: late\r\nX-Key: secret-key\r\nX-Deadline-Ms: 1500\r\n\r\n");
+  run_to(milliseconds(6'000));
+  CHECK(loop.stopped());
+  CHECK(reader.state() == http::read_state::complete);
+  CHECK(reader.message().status == 200);
+}
+
 TEST_CASE_FIXTURE(fleet_fixture, "Malformed requests get a clear error and end their connection") {
   configure();
   REQUIRE(settle());
