Report demand of accounts on relative changes

Cause: each admitted request led to about ten reports while the demand of its account decayed; usage is the largest part of the digests. Change: demand is reported again after a change of a fifth, or when it has ended.

--- a/source/traffic/account_rates.cpp
+++ b/source/traffic/account_rates.cpp
@@ -9,6 +9,11 @@
 
 /// Time constant of the demand estimate, in seconds; a few intervals of the status messages.
 constexpr double demand_time_constant_s = 1.0;
+/// Demand is reported again when it has changed by more than this many requests per second and by
+/// more than this fraction, or when it has ended. Each report goes to the whole fleet.
+constexpr double min_demand_change = 0.2;
+constexpr double relative_demand_change = 0.2;
+constexpr double negligible_demand = 0.05;
 /// Share of a node that knows neither the size of the fleet nor another node's demand.
 constexpr double unknown_fleet_share = 0.02;
 /// While the bucket holds less than this part of the burst, a node spends only its share of the
@@ -260,7 +265,6 @@
 }
 
 std::vector<account_usage> account_rates::changed(time_point now) {
-  constexpr double min_demand_change = 0.05;
   std::vector<account_usage> result;
   report_due_ = false;
   if (!started_) {
@@ -274,8 +278,10 @@
       it.previous_reported_demand = it.reported_demand;
       it.demand_shifted = now;
     }
-    if (it.admitted != it.reported_admitted ||
-        std::abs(it.demand - it.reported_demand) > min_demand_change) {
+    const double change = std::abs(it.demand - it.reported_demand);
+    const bool ended = it.demand < negligible_demand && it.reported_demand >= negligible_demand;
+    if (it.admitted != it.reported_admitted || ended ||
+        change > std::max(min_demand_change, it.reported_demand * relative_demand_change)) {
       it.reported_admitted = it.admitted;
       it.reported_demand = it.demand;
       result.push_back({name, it.admitted, it.demand});
