Avoid targets whose answers fail

Cause: a target that fails a part of its requests, or answers with garbage at once, has few requests under way, so that its free slots attracted more of them. Change: the fraction of failed runs, smoothed over about ten, raises a target's reported slowness up to 16 times; it keeps getting about one request in some hundred, which shows its recovery.

--- a/source/sidecar/agent.cpp
+++ b/source/sidecar/agent.cpp
@@ -578,8 +578,8 @@
       add_target(node.status.target);
     }
   }
-  target_->set_slowness(traffic::relative_slowness(target_->observer().costs(),
-                                                   traffic::summarise(picture).costs));
+  target_->set_slowness(
+      traffic::relative_slowness(target_->observer().costs(), traffic::summarise(picture).costs));
   auto plan = traffic::plan_admission(picture, traffic::admission_options{});
   log_admission(plan);
   admission_.set_plan(std::move(plan));
--- a/source/sidecar/http_service.cpp
+++ b/source/sidecar/http_service.cpp
@@ -72,8 +72,8 @@
 bool http_service::receiving() const {
   return std::any_of(connections_.begin(), connections_.end(), [](const auto& it) {
     const connection& value = *it.second;
-    return !value.stream->closing() && (value.reader.state() != http::read_state::idle ||
-                                        !value.stream->input().empty());
+    return !value.stream->closing() &&
+           (value.reader.state() != http::read_state::idle || !value.stream->input().empty());
   });
 }
 
--- a/source/sidecar/router.cpp
+++ b/source/sidecar/router.cpp
@@ -252,8 +252,8 @@
   const auto own = target_.status();
   if (own.ready && own.service == it.service && it.tried.count("") == 0) {
     const double slots = std::max(1U, own.slots);
-    candidates.push_back({sampled.size(), (own.in_flight + own.queued) / slots, slots, true,
-                          own.slowness});
+    candidates.push_back(
+        {sampled.size(), (own.in_flight + own.queued) / slots, slots, true, own.slowness});
   }
   const auto chosen = chooser_.choose(candidates);
   if (!chosen) {
--- a/source/sidecar/upstream_executor.cpp
+++ b/source/sidecar/upstream_executor.cpp
@@ -147,7 +147,7 @@
   result.slots = static_cast<std::uint32_t>(limit());
   result.in_flight = static_cast<std::uint32_t>(running_.size());
   result.queued = static_cast<std::uint32_t>(queue_.size());
-  result.slowness = static_cast<float>(slowness_);
+  result.slowness = static_cast<float>(slowness_ * failures_.penalty());
   return result;
 }
 
@@ -411,7 +411,12 @@
   running_.erase(call.id);
   observer_.run_ended(loop_.now(), call.call.route);
   from.reader.start(false);
-  if (static_cast<call_result>(result.result) == call_result::answered) {
+  constexpr std::uint32_t first_error_status = 500;
+  const auto outcome = static_cast<call_result>(result.result);
+  if (!from.abandoned && outcome != call_result::not_run) {
+    failures_.ended(outcome == call_result::unknown || result.status >= first_error_status);
+  }
+  if (outcome == call_result::answered) {
     crashes_.answered(loop_.now(), call.call.fingerprint, from.instance);
     mean_held_s_ += (std::chrono::duration<double>(held).count() - mean_held_s_) * held_smoothing;
     observer_.run_answered(call.call.route, options_.service, held);
--- a/source/sidecar/upstream_executor.h
+++ b/source/sidecar/upstream_executor.h
@@ -190,6 +190,7 @@
   /// Mean time for which a request holds a slot.
   double mean_held_s_ = 0.05;
   double slowness_ = 1;
+  traffic::failure_meter failures_;
   traffic::call_observer observer_;
   traffic::repeat_tracker repeats_;
 };
--- a/source/traffic/placement.cpp
+++ b/source/traffic/placement.cpp
@@ -23,6 +23,15 @@
 constexpr double max_slowness = 16;
 /// Steps of a reported slowness for each doubling.
 constexpr double slowness_steps = 4;
+/// Weight of the newest run in the fraction of failed ones.
+constexpr double failure_smoothing = 0.1;
+/// Penalty of a target that fails every request. It still gets one in some hundred, which shows
+/// when it has recovered.
+constexpr double max_penalty = 16;
+
+double round_to_step(double ratio) {
+  return std::exp2(std::round(std::log2(ratio) * slowness_steps) / slowness_steps);
+}
 
 /// The square prefers fast targets while they have room, beyond what would use all targets evenly:
 /// a request on a slow target misses its objective although slots are free elsewhere.
@@ -62,8 +71,15 @@
       usual += it.runs;
     }
   }
-  const double ratio = std::clamp(taken / usual, min_slowness, max_slowness);
-  return std::exp2(std::round(std::log2(ratio) * slowness_steps) / slowness_steps);
+  return round_to_step(std::clamp(taken / usual, min_slowness, max_slowness));
+}
+
+void failure_meter::ended(bool failed) {
+  failed_fraction_ += ((failed ? 1.0 : 0.0) - failed_fraction_) * failure_smoothing;
+}
+
+double failure_meter::penalty() const {
+  return round_to_step(1 + (max_penalty - 1) * failed_fraction_);
 }
 
 double target_chooser::spill(const std::vector<placement_candidate>& candidates) const {
--- a/source/traffic/traffic.h
+++ b/source/traffic/traffic.h
@@ -524,6 +524,21 @@
 /// it changes seldom.
 double relative_slowness(const std::vector<route_cost>& own, const std::vector<route_cost>& fleet);
 
+/// Tells how much a target is to be avoided because its answers fail or are no answers. A target
+/// may fail a part of its requests, or answer with garbage at once, while its health is good;
+/// having few requests under way, it would even attract more of them.
+class failure_meter {
+ public:
+  /// A run has ended.
+  /// @param failed the target answered with an error of its own, or with no valid answer.
+  void ended(bool failed);
+  /// @return factor by which the target's slowness counts higher; 1 without failures.
+  double penalty() const;
+
+ private:
+  double failed_fraction_ = 0;
+};
+
 /// A target that may run a request.
 struct placement_candidate {
   /// Identifies the candidate to the caller.
--- a/tests/sidecar/executor_test.cpp
+++ b/tests/sidecar/executor_test.cpp
@@ -400,3 +400,18 @@
     return executor->in_flight() == 0;
   }));
 }
+
+TEST_CASE_FIXTURE(executor_fixture,
+                  "A target whose answers are no answers is reported as one to avoid") {
+  target.on_raw = [&](event::stream& connection) {
+    connection.input().clear();
+    connection.send("garbage\r\n\r\n");
+  };
+  target.use_raw();
+  CHECK(executor->status().slowness == doctest::Approx(1));
+  for (std::size_t i = 1; i <= 20; ++i) {
+    submit(call("a"));
+    REQUIRE(answered(i));
+  }
+  CHECK(executor->status().slowness > 8);
+}
--- a/tests/traffic/traffic_test.cpp
+++ b/tests/traffic/traffic_test.cpp
@@ -664,8 +664,8 @@
   // A data centre whose only target is slow is left although that target has free slots.
   int far = 0;
   for (int i = 0; i < 1'000; ++i) {
-    far += static_cast<int>(
-        chooser.choose({{0, 0.3, 10, true, 2.8}, {1, 0.3, 10, false, 1}}).value());
+    far +=
+        static_cast<int>(chooser.choose({{0, 0.3, 10, true, 2.8}, {1, 0.3, 10, false, 1}}).value());
   }
   CHECK(far > 800);
   CHECK_FALSE(chooser.choose({}));
@@ -679,8 +679,8 @@
                                                {"write", "search", 0.4, 500}};
   CHECK(traffic::relative_slowness({}, fleet) == 1);
   CHECK(traffic::relative_slowness({{"read", "search", 0.6, 3}}, fleet) < 1.5);
-  const double slow =
-      traffic::relative_slowness({{"read", "search", 0.6, 150}, {"write", "search", 1.2, 50}}, fleet);
+  const double slow = traffic::relative_slowness(
+      {{"read", "search", 0.6, 150}, {"write", "search", 1.2, 50}}, fleet);
   CHECK(slow == doctest::Approx(2.83).epsilon(0.05));
   CHECK(traffic::relative_slowness({{"read", "search", 1e9, 1e9}}, fleet) == 16);
   traffic::target_chooser chooser({}, 1);
@@ -688,9 +688,9 @@
     int n = 0;
     for (int i = 0; i < 1'000; ++i) {
       const auto chosen = chooser.choose({{0, 0.2, 10, true, slow},
-                                           {1, load_of_fast, 10, true, 1},
-                                           {2, load_of_fast, 10, true, 1},
-                                           {3, load_of_fast, 10, true, 1}});
+                                          {1, load_of_fast, 10, true, 1},
+                                          {2, load_of_fast, 10, true, 1},
+                                          {3, load_of_fast, 10, true, 1}});
       n += chosen == 0 ? 1 : 0;
     }
     return n / 1'000.0;
@@ -699,6 +699,27 @@
   CHECK(slow_part(1.05) > 0.3);
 }
 
+TEST_CASE("A target that fails requests gets few of them, and more again once it has recovered") {
+  // A target that answers with garbage at once has few requests under way and attracted more.
+  traffic::failure_meter meter;
+  CHECK(meter.penalty() == 1);
+  for (int i = 0; i < 40; ++i) {
+    meter.ended(true);
+  }
+  traffic::target_chooser chooser({}, 1);
+  int failing = 0;
+  for (int i = 0; i < 10'000; ++i) {
+    failing +=
+        chooser.choose({{0, 0, 10, true, meter.penalty()}, {1, 0.5, 10, true, 1}}) == 0 ? 1 : 0;
+  }
+  CHECK(failing > 0);
+  CHECK(failing < 200);
+  for (int i = 0; i < 60; ++i) {
+    meter.ended(false);
+  }
+  CHECK(meter.penalty() < 1.1);
+}
+
 TEST_CASE("A large group is sampled, and each usable member may be chosen") {
   traffic::target_chooser chooser({.sample = 3}, 3);
   std::set<std::size_t> drawn;
