Ask nodes for their status whose links are silent, and close links that deliver nothing

Change: a node whose state is older than half of its limit, or whose calls go unanswered, is asked for its status over the own link, and replies over the same connection. Without a reply for 3 s the link is closed and opened anew.

--- a/source/fleet/fleet.h
+++ b/source/fleet/fleet.h
@@ -259,6 +259,13 @@
   }
 };
 
+/// Asks the receiver for its status, which it sends back over the same connection.
+struct status_request {
+  bool operator==(const status_request&) const = default;
+  template <class Archive>
+  void serialize(Archive& /*archive*/) {}
+};
+
 /// A configuration as the operator wrote it.
 struct configuration_frame {
   std::uint64_t version = 0;
@@ -271,9 +278,9 @@
   }
 };
 
-using frame =
-    std::variant<call_frame, answer_frame, cancel_frame, status_frame, load_frame,
-                 configuration_request, configuration_frame, admission::crash_report, digest_frame>;
+using frame = std::variant<call_frame, answer_frame, cancel_frame, status_frame, load_frame,
+                           configuration_request, configuration_frame, admission::crash_report,
+                           digest_frame, status_request>;
 
 /// Name of a frame's type for logs and metrics.
 std::string_view type_name(std::size_t frame_index);
@@ -334,6 +341,9 @@
   /// A link whose data stays unacknowledged for this long is closed; also bounds a connection
   /// attempt.
   milliseconds link_timeout{1'000};
+  /// A link is closed when the peer has not replied to status requests for this long although its
+  /// TCP stack acknowledges them.
+  milliseconds reply_timeout{3'000};
   /// Delay before a failed link is reopened.
   milliseconds reconnect_pause{300};
 };
@@ -352,6 +362,8 @@
   /// Another data centre has reported its demand or call graph; empty parts are unchanged.
   std::function<void(const digest_frame&)> on_summary;
   std::function<void(const admission::crash_report&)> on_crash_report;
+  /// @return the status of this node.
+  std::function<status_frame()> on_status_request;
   /// @return the current configuration, if it is newer than the given version.
   std::function<std::optional<configuration_frame>(std::uint64_t known)> on_configuration_request;
   std::function<void(const configuration_frame&)> on_configuration;
@@ -425,6 +437,9 @@
   void on_inbound_data(std::uint64_t id);
   void close_inbound(std::uint64_t id);
   void handle(inbound_link& link, frame value);
+  /// Asks nodes for their status whose state is old or whose calls go unanswered, and closes links
+  /// that deliver nothing. A link can be silent in one direction while TCP finds it in order.
+  void check_links();
   void handle_status(inbound_link& link, const status_frame& status);
   void handle_load(const std::string& name, const load_frame& load);
   void handle_digest(digest_frame digest);
@@ -438,6 +453,7 @@
   bool is_current_incarnation(const std::string& node, std::uint64_t incarnation) const;
 
   event::loop& loop_;
+  event::timer_group timers_;
   network_options options_;
   network_events callbacks_;
   std::unique_ptr<event::listener> listener_;
--- a/source/fleet/network.cpp
+++ b/source/fleet/network.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <limits>
+#include <optional>
 #include <utility>
 
 #include "fleet/fleet.h"
@@ -10,6 +11,9 @@
 
 /// Number of nodes in a data centre that send its states to other data centres.
 constexpr std::size_t relays_per_data_centre = 2;
+constexpr milliseconds link_check_interval{250};
+/// Without any answer to a call for this long, the peer is asked for its status.
+constexpr milliseconds call_silence{1'000};
 
 std::int64_t microseconds_of(time_point value) {
   return std::chrono::duration_cast<std::chrono::microseconds>(value.time_since_epoch()).count();
@@ -23,6 +27,10 @@
   /// Completions of unanswered calls, by call id.
   std::unordered_map<std::uint64_t, completion> pending_calls;
   event::timer_id reconnect = 0;
+  time_point last_received{};
+  time_point asked_at{};
+  /// When the oldest status request without any reply was sent.
+  std::optional<time_point> unanswered_since;
 };
 
 /// Another node's connection to this one.
@@ -39,7 +47,8 @@
 };
 
 network::network(event::loop& events, network_options options, network_events callbacks)
-    : loop_(events), options_(std::move(options)), callbacks_(std::move(callbacks)) {}
+    : loop_(events), timers_(events), options_(std::move(options)),
+      callbacks_(std::move(callbacks)) {}
 
 network::~network() {
   for (const auto& [name, link] : outbound_) {
@@ -51,6 +60,7 @@
   const endpoint& at =
       options_.listen_address.port == 0 ? options_.address : options_.listen_address;
   BOOST_LEAF_ASSIGN(listener_, event::listener::open(loop_, at, [this](int fd) { accept(fd); }));
+  check_links();
   return {};
 }
 
@@ -131,6 +141,8 @@
       .on_connected =
           [this, name] {
             nodes_.at(name).connected = true;
+            outbound_.at(name)->last_received = loop_.now();
+            outbound_.at(name)->unanswered_since.reset();
             callbacks_.on_link(nodes_.at(name), true);
           },
       .on_data = [this, name] { on_outbound_data(name); },
@@ -186,6 +198,8 @@
     if (!next.value) {
       return;
     }
+    link.last_received = loop_.now();
+    link.unanswered_since.reset();
     if (auto* answer = std::get_if<answer_frame>(&*next.value)) {
       const auto found = link.pending_calls.find(answer->id);
       if (found != link.pending_calls.end()) {
@@ -200,11 +214,43 @@
       }
     } else if (const auto* configuration = std::get_if<configuration_frame>(&*next.value)) {
       callbacks_.on_configuration(*configuration);
+    } else if (const auto* status = std::get_if<status_frame>(&*next.value)) {
+      if (status->node == name && is_current_incarnation(name, status->incarnation)) {
+        store_status(*status);
+      }
     }
     connection = link.connection.get();
   }
 }
 
+void network::check_links() {
+  timers_.after(link_check_interval, [this] { check_links(); });
+  const time_point now = loop_.now();
+  std::vector<std::string> silent;
+  for (auto& [name, link] : outbound_) {
+    const node_entry& node = nodes_.at(name);
+    if (!node.connected) {
+      continue;
+    }
+    if (link->unanswered_since && now - *link->unanswered_since > options_.reply_timeout) {
+      silent.push_back(name);
+      continue;
+    }
+    const bool near = node.data_centre == options_.data_centre;
+    const duration limit = near ? options_.silence_limit : options_.far_silence_limit;
+    const bool state_old = now - node.heard > limit / 2;
+    const bool calls_unanswered = node.outstanding > 0 && now - link->last_received > call_silence;
+    if ((state_old || calls_unanswered) && now - link->asked_at > limit / 4) {
+      link->asked_at = now;
+      link->unanswered_since = link->unanswered_since.value_or(now);
+      send(name, status_request{});
+    }
+  }
+  for (const std::string& name : silent) {
+    link_lost(name, "no reply to status requests");
+  }
+}
+
 std::optional<std::uint64_t> network::call(const std::string& node, call_frame value,
                                            completion done) {
   const auto entry = nodes_.find(node);
@@ -342,6 +388,8 @@
     handle_digest(std::move(*digest));
   } else if (const auto* report = std::get_if<admission::crash_report>(&value)) {
     callbacks_.on_crash_report(*report);
+  } else if (std::holds_alternative<status_request>(value)) {
+    reply(link, callbacks_.on_status_request());
   } else if (const auto* asked = std::get_if<configuration_request>(&value)) {
     if (auto text = callbacks_.on_configuration_request(asked->known_version)) {
       reply(link, std::move(*text));
--- a/source/sidecar/agent.cpp
+++ b/source/sidecar/agent.cpp
@@ -93,6 +93,7 @@
               [this](const admission::crash_report& report) {
                 crashes_.heard_report(loop_.now(), report);
               },
+          .on_status_request = [this] { return make_status(false); },
           .on_configuration_request =
               [this](std::uint64_t known) -> std::optional<fleet::configuration_frame> {
             if (!configuration_ || configuration_->version() <= known) {
--- a/tests/fleet/frames_test.cpp
+++ b/tests/fleet/frames_test.cpp
@@ -38,7 +38,8 @@
       fleet::load_frame{},
       fleet::digest_frame{
           true, "one", {{"n", 3, {}}}, {status}, status.demand, status.calls, status.costs},
-      admission::crash_report{{{"t", {{{1, 2}, std::chrono::microseconds(9)}}}}, {{3, 4}}}};
+      admission::crash_report{{{"t", {{{1, 2}, std::chrono::microseconds(9)}}}}, {{3, 4}}},
+      fleet::status_request{}};
   for (const auto& it : samples) {
     const std::string bytes = fleet::encode(it);
     std::string input = bytes.substr(0, bytes.size() - 1);
@@ -94,6 +95,7 @@
     };
     events.on_summary = [this](const fleet::digest_frame& it) { summaries.push_back(it); };
     events.on_crash_report = [](const admission::crash_report&) {};
+    events.on_status_request = [this] { return status; };
     events.on_configuration_request = [](std::uint64_t) { return std::nullopt; };
     events.on_configuration = [](const fleet::configuration_frame&) {};
     events.on_link = [](const fleet::node_entry&, bool) {};
@@ -107,6 +109,8 @@
   /// Nodes whose load arrived.
   std::vector<std::string> loads;
   std::vector<fleet::digest_frame> summaries;
+  /// What the node tells of itself.
+  fleet::status_frame status;
   fleet::network links;
 };
 
@@ -382,3 +386,52 @@
   one.links.remove_node("two");
   CHECK(one.links.nodes_of("other")->within_data_centre.empty());
 }
+
+TEST_CASE("A node whose own link has gone silent is known by asking it") {
+  // A restarted node got nothing over the links that others had opened to it before, and refused
+  // all requests for their services although its own links to them were in order.
+  event::loop loop;
+  peer one(loop, "one", first_port);
+  REQUIRE(one.links.listen());
+  peer two(loop, "two", second_port);
+  REQUIRE(two.links.listen());
+  two.status.node = "two";
+  two.status.data_centre = "one";
+  two.status.address = {"127.0.0.1", second_port};
+  two.status.incarnation = 5;
+  two.status.target.service = "search";
+  // `two` never sends anything by itself.
+  one.links.add_node("two", "one", {"127.0.0.1", second_port});
+  REQUIRE(run_until(loop, [&] { return one.links.reachable(one.links.nodes().at("two")); }));
+  CHECK(one.links.nodes().at("two").status.target.service == "search");
+  const auto end = loop.refresh_now() + milliseconds(1'500);
+  while (loop.now() < end) {
+    loop.run_once(milliseconds(10));
+    REQUIRE(one.links.reachable(one.links.nodes().at("two")));
+  }
+}
+
+TEST_CASE(
+    "A link that accepts calls and delivers nothing is closed, and its calls end as unknown") {
+  // TCP finds such a link in order, for example behind a forwarder.
+  event::loop loop;
+  std::vector<std::unique_ptr<event::stream>> accepted;
+  auto black_hole = event::listener::open(loop, {"127.0.0.1", second_port}, [&](int fd) {
+    accepted.push_back(std::make_unique<event::stream>(loop, fd, event::stream_options{}));
+    auto* it = accepted.back().get();
+    it->handle({{}, [it] { it->input().clear(); }, {}});
+  });
+  REQUIRE(black_hole);
+  peer one(loop, "one", first_port);
+  REQUIRE(one.links.listen());
+  one.links.add_node("two", "one", {"127.0.0.1", second_port});
+  REQUIRE(run_until(loop, [&] { return one.links.nodes().at("two").connected; }));
+  std::vector<fleet::answer_frame> answers;
+  const auto sent = loop.now();
+  REQUIRE(one.links.call("two", sample_call(),
+                         [&](fleet::answer_frame it) { answers.push_back(std::move(it)); }));
+  REQUIRE(run_until(loop, [&] { return answers.size() == 1; }));
+  CHECK(answers.front().result == static_cast<std::uint8_t>(fleet::call_result::unknown));
+  CHECK(loop.now() - sent >= milliseconds(2'500));
+  CHECK(loop.now() - sent < milliseconds(5'000));
+}
