--- a/source/fleet/fleet.h
+++ b/source/fleet/fleet.h
@@ -21,6 +21,7 @@
 #include "admission/admission.h"
 #include "common/common.h"
 #include "event/event.h"
+#include "placement/placement.h"
 #include "traffic/traffic.h"
 
 namespace damaskledge::fleet {
@@ -114,7 +115,7 @@
   std::uint32_t slots = 0;
   std::uint32_t in_flight = 0;
   std::uint32_t queued = 0;
-  /// See `traffic::relative_slowness`.
+  /// See `placement::relative_slowness`.
   float slowness = 1;
 
   bool operator==(const target_status&) const = default;
@@ -134,7 +135,7 @@
   std::uint32_t slots = 0;
   std::uint32_t in_flight = 0;
   std::uint32_t queued = 0;
-  /// See `traffic::relative_slowness`.
+  /// See `placement::relative_slowness`.
   float slowness = 1;
   /// Accounts whose usage has changed.
   std::vector<traffic::account_usage> accounts;
@@ -316,7 +317,7 @@
   /// Calls sent since the node last reported its load.
   std::uint32_t sent_since_report = 0;
   /// Requests at the target as a fraction of its slots.
-  traffic::smoothed_load load;
+  placement::smoothed_load load;
   bool connected = false;
 };
 
--- a/source/traffic/placement.cpp
+++ b/source/placement/placement.cpp
@@ -1,9 +1,9 @@
+#include "placement/placement.h"
+
 #include <algorithm>
 #include <cmath>
 
-#include "traffic/traffic.h"
-
-namespace damaskledge::traffic {
+namespace damaskledge::placement {
 
 namespace {
 
@@ -35,7 +35,7 @@
 
 /// The square prefers fast targets while they have room, beyond what would use all targets evenly:
 /// a request on a slow target misses its objective although slots are free elsewhere.
-double weight_of(const placement_candidate& it) {
+double weight_of(const candidate& it) {
   return it.slots * std::max(min_weight, full_load - it.load) / (it.slowness * it.slowness);
 }
 
@@ -46,7 +46,7 @@
   double weight = 0;
   double slowness_sum = 0;
 
-  void add(const placement_candidate& it) {
+  void add(const candidate& it) {
     slots += it.slots;
     load_sum += it.load * it.slots;
     weight += weight_of(it);
@@ -59,13 +59,15 @@
 
 } // namespace
 
-double relative_slowness(const std::vector<route_cost>& own, const std::vector<route_cost>& fleet) {
+double relative_slowness(const std::vector<traffic::route_cost>& own,
+                         const std::vector<traffic::route_cost>& fleet) {
   double taken = assumed_runs;
   double usual = assumed_runs;
   for (const auto& it : own) {
-    const auto found = std::find_if(fleet.begin(), fleet.end(), [&](const route_cost& other) {
-      return other.route == it.route && other.service == it.service;
-    });
+    const auto found =
+        std::find_if(fleet.begin(), fleet.end(), [&](const traffic::route_cost& other) {
+          return other.route == it.route && other.service == it.service;
+        });
     if (found != fleet.end() && found->slot_seconds > 0) {
       taken += it.runs * it.slot_seconds / found->slot_seconds;
       usual += it.runs;
@@ -82,7 +84,7 @@
   return round_to_step(1 + (max_penalty - 1) * failed_fraction_);
 }
 
-double target_chooser::spill(const std::vector<placement_candidate>& candidates) const {
+double target_chooser::spill(const std::vector<candidate>& candidates) const {
   group_mean near;
   group_mean far;
   for (const auto& it : candidates) {
@@ -104,8 +106,7 @@
   return std::clamp(std::max(by_slowness, by_load), 0.0, 1.0);
 }
 
-std::optional<std::size_t>
-target_chooser::choose(const std::vector<placement_candidate>& candidates) {
+std::optional<std::size_t> target_chooser::choose(const std::vector<candidate>& candidates) {
   const double far_part = spill(candidates);
   double total = 0;
   for (const auto& it : candidates) {
@@ -133,4 +134,4 @@
   updated_ = now;
 }
 
-} // namespace damaskledge::traffic
+} // namespace damaskledge::placement
--- a/source/sidecar/router.cpp
+++ b/source/sidecar/router.cpp
@@ -230,7 +230,7 @@
 
 std::optional<std::string> router::choose(const exchange& it) {
   std::vector<const fleet::node_entry*> sampled;
-  std::vector<traffic::placement_candidate> candidates;
+  std::vector<placement::candidate> candidates;
   const auto sample = [&](const std::vector<const fleet::node_entry*>& nodes, bool near) {
     const auto usable = [&](std::size_t at) {
       const fleet::node_entry& node = *nodes[at];
--- a/source/sidecar/router.h
+++ b/source/sidecar/router.h
@@ -10,6 +10,7 @@
 #include <unordered_map>
 
 #include "fleet/fleet.h"
+#include "placement/placement.h"
 #include "sidecar/event_log.h"
 #include "sidecar/http_service.h"
 #include "sidecar/instruments.h"
@@ -83,7 +84,7 @@
   traffic::traffic_splitter splitter_;
   std::unordered_map<request_handle, std::unique_ptr<exchange>> exchanges_;
   bool closed_ = false;
-  traffic::target_chooser chooser_;
+  placement::target_chooser chooser_;
   /// Fingerprints of requests that entry admission refused, with the time until which a repetition
   /// counts as a retry by the caller.
   std::unordered_map<id128, time_point, id128_hash> refused_;
--- a/source/sidecar/upstream_executor.h
+++ b/source/sidecar/upstream_executor.h
@@ -17,6 +17,7 @@
 #include "event/event.h"
 #include "fleet/fleet.h"
 #include "http/http.h"
+#include "placement/placement.h"
 #include "platform/adapter.h"
 #include "sidecar/event_log.h"
 #include "traffic/traffic.h"
@@ -190,7 +191,7 @@
   /// Mean time for which a request holds a slot.
   double mean_held_s_ = 0.05;
   double slowness_ = 1;
-  traffic::failure_meter failures_;
+  placement::failure_meter failures_;
   traffic::call_observer observer_;
   traffic::repeat_tracker repeats_;
 };
