Put a load that is announced early into the next digest

Cause: a load sent when a configuration comes into force took the usage of accounts with it, and a relay's own usage then reached other data centres only with its next change. Found by reading. Change: it is added to the digest. Comments reworded.

--- a/source/event/event.h
+++ b/source/event/event.h
@@ -57,8 +57,8 @@
   void change(int fd, std::uint32_t events, io_handler& handler);
   void forget(int fd, io_handler& handler);
 
-  /// Sets who learns of exceptions that leave a handler, timer or deferred task. Each of them ends
-  /// only the event that it interrupted. Without a reporter, exceptions leave `run`.
+  /// Sets the receiver of exceptions that leave a handler, timer or deferred task. Each of them
+  /// ends only the event that it interrupted. Without a reporter, exceptions leave `run`.
   void report_failures(std::function<void(std::string_view where, std::string_view what)> to) {
     reporter_ = std::move(to);
   }
--- a/source/fleet/fleet.h
+++ b/source/fleet/fleet.h
@@ -230,7 +230,7 @@
   /// Drops the loads added since the last digest; for a node that is not a relay.
   void discard() { pending_.clear(); }
   /// @param picture demand, calls and costs of all nodes of this data centre.
-  /// @return what other data centres have to be told now.
+  /// @return the states that other data centres need now.
   digest_frame take(time_point now, const traffic::load_picture& picture);
 
  private:
@@ -400,7 +400,7 @@
   /// Sends a frame to every connected node of this data centre.
   void broadcast_near(const frame& value);
   /// Sends a digest to one node of each other data centre, which forwards it to the others there.
-  /// @param choice number by which the receiver is chosen. The relays of a data centre use
+  /// @param choice selects the receiver. The relays of a data centre use
   /// different ones, so that the loss of one node does not stop the states of all.
   void send_digest(digest_frame digest, std::size_t choice);
   /// @return this node's rank among the relays of its data centre, or nothing if it isn't a relay.
--- a/source/placement/placement.h
+++ b/source/placement/placement.h
@@ -23,7 +23,7 @@
 double relative_slowness(const std::vector<traffic::route_cost>& own,
                          const std::vector<traffic::route_cost>& fleet);
 
-/// Tells how much a target is to be avoided because its answers fail or are no answers. A target
+/// Measures how much a target is to be avoided because its answers fail or are no answers. A target
 /// may fail a part of its requests, or answer with garbage at once, while its health is good;
 /// having few requests under way, it would even attract more of them.
 class failure_meter {
@@ -75,7 +75,7 @@
 
   /// Draws a sample of one group of targets.
   /// @param n size of the group.
-  /// @param usable tells whether a member may be chosen.
+  /// @param usable tells whether a member is eligible.
   /// @return indices of different usable members, at most `options::sample`.
   template <class Usable>
   std::vector<std::size_t> sample(std::size_t n, const Usable& usable) {
--- a/source/sidecar/agent.cpp
+++ b/source/sidecar/agent.cpp
@@ -264,7 +264,7 @@
                        .field("version", static_cast<std::int64_t>(value->version()))
                        .field("source", source));
         identify_target();
-        nodes_->broadcast_near(make_load());
+        announce_load();
         return {};
       },
       [&](const parse_error& error) {
@@ -303,7 +303,7 @@
 }
 
 watch_terms agent::configuration_terms() const {
-  // The relays learn of a new version at once and announce it. The other nodes fetch it from them,
+  // The relays receive a new version at once and announce it. The other nodes fetch it from them,
   // and their own watch serves for the case that no relay reaches the store.
   if (nodes_->relay_rank()) {
     return {relay_configuration_wait, adapter::read_freshness::current, milliseconds(0)};
--- a/source/sidecar/agent.h
+++ b/source/sidecar/agent.h
@@ -61,7 +61,10 @@
   void register_node();
   void identify_target();
   void send_status();
+  /// Takes the usage to report; the load must reach the near nodes and the next digest.
   fleet::load_frame make_load();
+  /// Sends the load to the nodes of this data centre ahead of the interval.
+  void announce_load();
   void send_crash_report();
   void log_sent_bytes();
   /// @param with_picture includes demand, calls and costs.
@@ -73,7 +76,7 @@
   void set_retry_budget();
   void log_admission(const traffic::admission_plan& plan);
   void run_checks();
-  /// Tells all nodes the use of accounts ahead of the regular load message.
+  /// Reports the use of accounts to all nodes ahead of the regular load message.
   void report_usage();
   void end_load_interval();
   void check_shutdown();
--- a/source/sidecar/agent_exchange.cpp
+++ b/source/sidecar/agent_exchange.cpp
@@ -1,6 +1,6 @@
 /// @file
-/// The part of a node that tells other nodes its state, relays states between data centres, and
-/// plans with what the others have told.
+/// Exchange of state with other nodes: reports, relaying between data centres, and admission
+/// planning from the reports received.
 #include <cmath>
 #include <utility>
 
@@ -113,6 +113,13 @@
   return load;
 }
 
+void agent::announce_load() {
+  const auto load = make_load();
+  nodes_->broadcast_near(load);
+  // A relay's own usage reaches other data centres with its digest only.
+  digest_.add({settings_.name, incarnation_, load});
+}
+
 traffic::load_picture agent::local_picture() const {
   traffic::load_picture picture;
   picture.demand = own_demand_;
--- a/source/traffic/account_rates.cpp
+++ b/source/traffic/account_rates.cpp
@@ -25,7 +25,7 @@
 /// other data centres may take two intervals, so each interval may spend half of the level.
 constexpr double allowance_fraction = 0.5;
 /// Part of the operator's tolerance that deepens the bucket. The rest is left for admissions that
-/// the nodes have not told each other yet.
+/// the nodes have not reported to each other yet.
 constexpr double tolerance_fraction = 0.5;
 /// Nothing is admitted while the bucket is overdrawn by more than this part of the burst. Within
 /// it, admissions that were not reported yet don't stop an account that keeps its rate.
--- a/source/traffic/traffic.h
+++ b/source/traffic/traffic.h
@@ -397,7 +397,7 @@
   std::map<std::string, cost_sum> costs_;
 };
 
-/// Tells which calls of a target were made by repeated runs. A retry at the top of a call graph
+/// Estimates which calls of a target were made by repeated runs. A retry at the top of a call graph
 /// repeats all calls below it, so that each service below must count them against its budget. The
 /// calls don't identify the run that made them, so as many calls are taken for repeats as repeated
 /// runs are expected to make.
--- a/tests/fleet/frames_test.cpp
+++ b/tests/fleet/frames_test.cpp
@@ -109,7 +109,7 @@
   /// Nodes whose load arrived.
   std::vector<std::string> loads;
   std::vector<fleet::digest_frame> summaries;
-  /// What the node tells of itself.
+  /// Status that the node reports.
   fleet::status_frame status;
   fleet::network links;
 };
