--- a/source/fleet/fleet.h
+++ b/source/fleet/fleet.h
@@ -21,6 +21,7 @@
 #include "admission/admission.h"
 #include "common/common.h"
 #include "event/event.h"
+#include "placement/placement.h"
 #include "traffic/traffic.h"
 
 namespace damaskledge::fleet {
@@ -114,7 +115,7 @@
   std::uint32_t slots = 0;
   std::uint32_t in_flight = 0;
   std::uint32_t queued = 0;
-  /// See `traffic::relative_slowness`.
+  /// See `placement::relative_slowness`.
   float slowness = 1;
 
   bool operator==(const target_status&) const = default;
@@ -134,7 +135,7 @@
   std::uint32_t slots = 0;
   std::uint32_t in_flight = 0;
   std::uint32_t queued = 0;
-  /// See `traffic::relative_slowness`.
+  /// See `placement::relative_slowness`.
   float slowness = 1;
   /// Accounts whose usage has changed.
   std::vector<traffic::account_usage> accounts;
@@ -229,7 +230,7 @@
   /// Drops the loads added since the last digest; for a node that is not a relay.
   void discard() { pending_.clear(); }
   /// @param picture demand, calls and costs of all nodes of this data centre.
-  /// @return what other data centres have to be told now.
+  /// @return the states that other data centres need now.
   digest_frame take(time_point now, const traffic::load_picture& picture);
 
  private:
@@ -316,7 +317,7 @@
   /// Calls sent since the node last reported its load.
   std::uint32_t sent_since_report = 0;
   /// Requests at the target as a fraction of its slots.
-  traffic::smoothed_load load;
+  placement::smoothed_load load;
   bool connected = false;
 };
 
@@ -399,7 +400,7 @@
   /// Sends a frame to every connected node of this data centre.
   void broadcast_near(const frame& value);
   /// Sends a digest to one node of each other data centre, which forwards it to the others there.
-  /// @param choice number by which the receiver is chosen. The relays of a data centre use
+  /// @param choice selects the receiver. The relays of a data centre use
   /// different ones, so that the loss of one node does not stop the states of all.
   void send_digest(digest_frame digest, std::size_t choice);
   /// @return this node's rank among the relays of its data centre, or nothing if it isn't a relay.
