Log and measure rounds of events that occupy the event loop

A round of more than 100 ms now writes event_loop_stalled with the longest part of the node's own work, and is observed in the histogram damaskledge_loop_stall_seconds. The loop reads the clock as often as before; each measured part reads it twice (four parts, every 50 to 250 ms).

--- a/source/event/event.h
+++ b/source/event/event.h
@@ -64,6 +64,13 @@
   }
   /// Passes a failure to the reporter.
   void report(std::string_view where, std::string_view what) const;
+  /// @return number of the current round of events.
+  std::uint64_t round() const { return round_; }
+  /// Sets the receiver of rounds that took longer than `limit`. Nothing else was handled meanwhile.
+  void report_slow_rounds(duration limit, std::function<void(duration taken)> to) {
+    slow_round_limit_ = limit;
+    slow_round_reporter_ = std::move(to);
+  }
 
   /// Runs until `stop`.
   void run();
@@ -96,6 +103,11 @@
   std::unordered_map<timer_id, std::function<void()>> tasks_;
   std::vector<std::function<void()>> deferred_;
   std::function<void(std::string_view, std::string_view)> reporter_;
+  std::uint64_t round_ = 0;
+  /// When the handlers of the latest round began to run.
+  std::optional<time_point> round_began_;
+  duration slow_round_limit_{};
+  std::function<void(duration)> slow_round_reporter_;
   /// Handlers forgotten during the current round; their pending events are dropped.
   std::unordered_set<io_handler*> forgotten_;
 };
--- a/source/event/loop.cpp
+++ b/source/event/loop.cpp
@@ -112,6 +112,9 @@
 void loop::run_once(duration limit) {
   duration wait = deferred_.empty() ? limit : duration::zero();
   refresh_now();
+  if (slow_round_reporter_ && round_began_ && now_ - *round_began_ > slow_round_limit_) {
+    slow_round_reporter_(now_ - *round_began_);
+  }
   while (!timers_.empty() && tasks_.count(timers_.top().id) == 0) {
     timers_.pop();
   }
@@ -122,7 +125,8 @@
   const auto wait_ms = std::chrono::ceil<milliseconds>(wait).count();
   std::array<epoll_event, max_events_per_round> ready{};
   const int n = ::epoll_wait(epoll_, ready.data(), max_events_per_round, static_cast<int>(wait_ms));
-  refresh_now();
+  round_began_ = refresh_now();
+  ++round_;
   forgotten_.clear();
   for (int i = 0; i < n; ++i) {
     auto* handler = static_cast<io_handler*>(ready[static_cast<std::size_t>(i)].data.ptr);
--- a/source/sidecar/agent.cpp
+++ b/source/sidecar/agent.cpp
@@ -31,6 +31,8 @@
 constexpr milliseconds last_read_delay{100};
 /// What is still open after this fraction of the grace period is logged.
 constexpr double slow_stop_fraction = 0.8;
+/// A round of events that takes longer is logged: callers and other nodes wait meanwhile.
+constexpr milliseconds stall_limit{100};
 /// Fractions of the fleet's retry budget that the nodes use in total. They are below 1 because
 /// requests are counted at other times than retries, and lost nodes may have used their part.
 constexpr double retry_ratio_fraction = 0.7;
@@ -84,7 +86,7 @@
           },
           .on_configuration =
               [this](const fleet::configuration_frame& frame) {
-                apply_configuration(frame.text, "node");
+                measure("apply_configuration", [&] { apply_configuration(frame.text, "node"); });
               },
           .on_link =
               [this](const fleet::node_entry& node, bool connected) {
@@ -133,7 +135,8 @@
           .on_object =
               [this](const adapter::stored_object& object) {
                 if (object.name == adapter::configuration_name) {
-                  apply_configuration(object.content, "store");
+                  measure("apply_configuration",
+                          [&] { apply_configuration(object.content, "store"); });
                 }
               },
           .on_removed = [](const std::string&) {},
@@ -165,6 +168,7 @@
 
 agent::~agent() {
   loop_.report_failures({});
+  loop_.report_slow_rounds(stall_limit, {});
 }
 
 leaf::result<void> agent::start() {
@@ -172,6 +176,7 @@
     counters_.unexpected_error(where);
     log_.state(log_line("unexpected_error").field("where", where).field("what", what));
   });
+  loop_.report_slow_rounds(stall_limit, [this](duration taken) { log_stall(taken); });
   BOOST_LEAF_CHECK(nodes_->listen());
   BOOST_LEAF_CHECK(callers_->listen(settings_.caller_address));
   BOOST_LEAF_CHECK(readiness_->listen(settings_.ready_address));
@@ -429,12 +434,32 @@
   log_.state(log_line("settings_reloaded").field("restart_needed", restart_needed ? 1 : 0));
 }
 
+void agent::measure(std::string_view part, const std::function<void()>& work) {
+  const time_point began = loop_.refresh_now();
+  work();
+  const duration taken = loop_.refresh_now() - began;
+  if (longest_part_.round != loop_.round() || taken > longest_part_.taken) {
+    longest_part_ = {part, taken, loop_.round()};
+  }
+}
+
+void agent::log_stall(duration taken) {
+  counters_.loop_stalled(taken);
+  log_line line("event_loop_stalled");
+  line.field("ms", std::chrono::duration_cast<milliseconds>(taken).count());
+  if (longest_part_.round == loop_.round()) {
+    line.field("longest_part", longest_part_.name)
+        .field("part_ms", std::chrono::duration_cast<milliseconds>(longest_part_.taken).count());
+  }
+  log_.state(line);
+}
+
 void agent::run_checks() {
   // Armed first, so that an exception below doesn't end the periodic work.
   timers_.after(check_interval, [this] { run_checks(); });
   target_->tick();
   if (++ticks_ % observe_every == 0) {
-    target_->observer().end_interval(loop_.now());
+    measure("observe_calls", [this] { target_->observer().end_interval(loop_.now()); });
   }
   if (rates_.report_due() && loop_.now() - usage_sent_at_ >= early_report_pause) {
     report_usage();
--- a/source/sidecar/agent.h
+++ b/source/sidecar/agent.h
@@ -75,6 +75,10 @@
   void forget_lost_nodes();
   void set_retry_budget();
   void log_admission(const traffic::admission_plan& plan);
+  /// Runs a part of the node's own work and notes which part of this round took longest, for the
+  /// log line of a stalled event loop.
+  void measure(std::string_view part, const std::function<void()>& work);
+  void log_stall(duration taken);
   void run_checks();
   /// Reports the use of accounts to all nodes ahead of the regular load message.
   void report_usage();
@@ -128,6 +132,13 @@
   configuration_fetch configuration_fetch_;
   std::size_t nodes_present_ = 1;
   time_point started_;
+  /// Longest part of the node's own work in one round of events.
+  struct measured_part {
+    std::string_view name;
+    duration taken{};
+    std::uint64_t round = 0;
+  };
+  measured_part longest_part_;
   bool leaving_ = false;
   time_point leaving_since_{};
   /// When connections were accepted for the last time.
--- a/source/sidecar/agent_exchange.cpp
+++ b/source/sidecar/agent_exchange.cpp
@@ -246,7 +246,7 @@
   own_demand_ = demand_.end_interval(load_interval);
   const bool with_status = ++intervals_ % status_every == 0;
   if (intervals_ % call_ratios_every == 0) {
-    own_calls_ = target_->observer().ratios();
+    measure("estimate_calls", [this] { own_calls_ = target_->observer().ratios(); });
     target_->repeats().set_ratios(own_calls_);
   }
   usage_sent_at_ = loop_.now();
@@ -257,7 +257,7 @@
   }
   relay_states(load);
   send_crash_report();
-  plan_admission();
+  measure("plan_admission", [this] { plan_admission(); });
   forget_lost_nodes();
 }
 
--- a/source/sidecar/instruments.cpp
+++ b/source/sidecar/instruments.cpp
@@ -8,6 +8,7 @@
 
 const prometheus::Histogram::BucketBoundaries latency_bounds{0.01, 0.03, 0.1, 0.2, 0.4,
                                                              0.8,  1.5,  3.0, 6.0};
+const prometheus::Histogram::BucketBoundaries stall_bounds{0.1, 0.2, 0.5, 1.0, 2.0};
 
 prometheus::Family<prometheus::Counter>& counter_family(prometheus::Registry& registry,
                                                         const char* name, const char* help) {
@@ -42,7 +43,12 @@
                       .Register(*registry_)),
       callers_left_(counter_family(*registry_, "damaskledge_callers_left_total",
                                    "Callers that left before their answer.")
-                        .Add({})) {}
+                        .Add({})),
+      stalls_(prometheus::BuildHistogram()
+                  .Name("damaskledge_loop_stall_seconds")
+                  .Help("Rounds of events that occupied the event loop for too long.")
+                  .Register(*registry_)
+                  .Add({}, stall_bounds)) {}
 
 void instruments::answered(const std::string& route, int status, duration taken) {
   auto& counter = counters_["a" + route + ':' + std::to_string(status)];
@@ -57,6 +63,10 @@
   histogram->Observe(std::chrono::duration<double>(taken).count());
 }
 
+void instruments::loop_stalled(duration taken) {
+  stalls_.Observe(std::chrono::duration<double>(taken).count());
+}
+
 void instruments::failed(const std::string& route, int status, const std::string& reason) {
   auto& counter = counters_["f" + route + ':' + std::to_string(status) + reason];
   if (counter == nullptr) {
--- a/source/sidecar/instruments.h
+++ b/source/sidecar/instruments.h
@@ -29,6 +29,8 @@
   void store_call(const std::string& result);
   /// An exception has interrupted an event.
   void unexpected_error(std::string_view where);
+  /// The event loop was occupied by one round of events for this long.
+  void loop_stalled(duration taken);
   /// @param total bytes since the start.
   void bytes_sent(std::string_view frame, const std::string& scope, std::uint64_t total);
   void set(const std::string& name, double value);
@@ -45,6 +47,7 @@
   prometheus::Family<prometheus::Gauge>& gauges_;
   prometheus::Family<prometheus::Gauge>& bytes_sent_;
   prometheus::Counter& callers_left_;
+  prometheus::Histogram& stalls_;
   /// Children by their labels; the library's own look-up copies the label map on each call.
   std::map<std::string, prometheus::Counter*> counters_;
   std::map<std::string, prometheus::Histogram*> histograms_;
--- a/tests/event/event_test.cpp
+++ b/tests/event/event_test.cpp
@@ -1,5 +1,7 @@
 #include <new>
 #include <stdexcept>
+#include <thread>
+#include <vector>
 
 #include <doctest/doctest.h>
 #include <sys/resource.h>
@@ -165,3 +167,18 @@
   REQUIRE(run_until(loop, [&] { return later; }));
   CHECK_FALSE(fired);
 }
+
+TEST_CASE("A round of events that occupies the loop is reported, a wait for events is not") {
+  event::loop loop;
+  std::vector<duration> stalls;
+  loop.report_slow_rounds(milliseconds(30), [&](duration taken) { stalls.push_back(taken); });
+  bool waited = false;
+  loop.after(milliseconds(50), [&] { waited = true; });
+  REQUIRE(run_until(loop, [&] { return waited; }));
+  CHECK(stalls.empty());
+  loop.after(milliseconds(0), [] { std::this_thread::sleep_for(milliseconds(60)); });
+  loop.run_once(milliseconds(20));
+  loop.run_once(milliseconds(0));
+  REQUIRE(stalls.size() == 1);
+  CHECK(stalls[0] >= milliseconds(60));
+}
