Bound the work of estimating calls by the number of parents, not of routes

Callers saw: a node stood still for up to 3.5 s at a time once some dozens of routes had run at its target. Requests and the ends of their connections waited in its sockets, so requests were sent on after their callers had left (GONE), and configurations that had arrived were applied seconds late.

Cause: call_observer kept every route that had ever run, and once a second fitted the calls anew for each subset of parents that it tried: the work grows with the fourth power of the number of routes, over maps with two strings as key. Class of fault: periodic work that grows with history and without bound on the one thread that serves everything.

Change: twelve parents are told apart, the busiest ones; the others are regressed as one. Sums are dense arrays, parents with a rate of zero are left out without a fit of their own, the descent ends when it has converged, and routes that no longer run are forgotten with their costs, which were also sent to all near nodes for ever.

--- a/source/traffic/call_observer.cpp
+++ b/source/traffic/call_observer.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <cmath>
 #include <optional>
 
 #include "traffic/traffic.h"
@@ -19,17 +20,20 @@
 constexpr double significance = 9;
 /// Passes of the coordinate descent; two or three routes of a service converge in a few.
 constexpr int descent_passes = 40;
-
-double sum_or_zero(const std::map<std::pair<std::string, std::string>, double>& sums,
-                   const std::string& first, const std::string& second) {
-  const auto found = sums.find({first, second});
-  return found == sums.end() ? 0.0 : found->second;
-}
+/// The descent ends early when no rate has changed by more than this in a pass (calls a second).
+constexpr double converged_change = 1e-9;
+/// A route without runs is forgotten when its decayed sum of run-seconds is below this: about a
+/// minute after a run of 0.2 s.
+constexpr double min_recent_exposure = 0.0005;
+/// A child is forgotten when its decayed sum of squared calls is below this.
+constexpr double min_call_squares = 0.001;
+/// A route takes the column of another one when it is busier by this factor.
+constexpr double takeover_factor = 2;
 
 } // namespace
 
 call_observer::route_activity& call_observer::advance(time_point now, const std::string& route) {
-  auto [found, added] = activity_.try_emplace(route);
+  auto [found, added] = routes_.try_emplace(route);
   route_activity& it = found->second;
   if (!added) {
     it.exposure += it.runs * std::chrono::duration<double>(now - it.updated).count();
@@ -49,117 +53,166 @@
 
 void call_observer::run_answered(const std::string& route, const std::string& service,
                                  duration held) {
-  auto& it = costs_[route];
+  auto& it = routes_[route];
   it.service = service;
-  if (it.runs > cost_history_runs) {
-    it.runs /= 2;
-    it.seconds /= 2;
+  if (it.answered_runs > cost_history_runs) {
+    it.answered_runs /= 2;
+    it.answered_seconds /= 2;
   }
-  it.seconds += std::chrono::duration<double>(held).count();
-  it.runs += 1;
+  it.answered_seconds += std::chrono::duration<double>(held).count();
+  it.answered_runs += 1;
 }
 
 void call_observer::end_interval(time_point now) {
-  for (auto& [key, value] : exposure_products_) {
-    value *= interval_decay;
-  }
-  for (auto& [key, value] : exposure_call_products_) {
-    value *= interval_decay;
+  for (auto& [route, it] : routes_) {
+    advance(now, route);
+    it.recent_exposure = it.recent_exposure * interval_decay + it.exposure;
   }
-  for (auto& [child, value] : call_squares_) {
-    value *= interval_decay;
+  forget_idle_routes();
+  assign_columns();
+  columns exposure{};
+  for (auto& [route, it] : routes_) {
+    exposure[it.column] += it.exposure;
+    it.exposure = 0;
   }
-  intervals_ = intervals_ * interval_decay + 1;
-  for (auto& [route, it] : activity_) {
-    advance(now, route);
+  for (std::size_t i = 0; i < exposure.size(); ++i) {
+    for (std::size_t j = 0; j < exposure.size(); ++j) {
+      double& sum = exposure_products_[i][j];
+      sum = sum * interval_decay + exposure[i] * exposure[j];
+    }
   }
-  for (const auto& [child, calls] : interval_calls_) {
-    call_squares_[child] += calls * calls;
+  for (auto& [child, it] : children_) {
+    it.squares = it.squares * interval_decay + it.interval_calls * it.interval_calls;
+    for (std::size_t i = 0; i < exposure.size(); ++i) {
+      it.products[i] = it.products[i] * interval_decay + exposure[i] * it.interval_calls;
+    }
+    it.interval_calls = 0;
   }
-  for (const auto& [parent, it] : activity_) {
-    if (it.exposure <= 0) {
-      continue;
+  std::erase_if(children_, [](const auto& it) { return it.second.squares < min_call_squares; });
+  intervals_ = intervals_ * interval_decay + 1;
+}
+
+void call_observer::forget_idle_routes() {
+  std::erase_if(routes_, [this](const auto& it) {
+    const route_activity& value = it.second;
+    if (value.runs > 0 || value.recent_exposure >= min_recent_exposure) {
+      return false;
+    }
+    if (value.column != pooled) {
+      clear_column(value.column);
     }
-    for (const auto& [other, n] : activity_) {
-      exposure_products_[{parent, other}] += it.exposure * n.exposure;
+    return true;
+  });
+}
+
+void call_observer::assign_columns() {
+  for (auto& [route, it] : routes_) {
+    if (it.column != pooled || it.exposure <= 0) {
+      continue;
     }
-    for (const auto& [child, calls] : interval_calls_) {
-      exposure_call_products_[{parent, child}] += it.exposure * calls;
+    const auto busyness = [this](const std::string& parent) {
+      return parent.empty() ? 0.0 : routes_.at(parent).recent_exposure;
+    };
+    const auto idlest =
+        std::min_element(parents_.begin(), parents_.end(),
+                         [&](const auto& a, const auto& b) { return busyness(a) < busyness(b); });
+    if (it.recent_exposure > busyness(*idlest) * takeover_factor) {
+      const auto column = static_cast<std::size_t>(idlest - parents_.begin());
+      clear_column(column);
+      it.column = column;
+      *idlest = route;
     }
   }
-  interval_calls_.clear();
-  for (auto& [route, it] : activity_) {
-    it.exposure = 0;
+}
+
+void call_observer::clear_column(std::size_t column) {
+  if (const auto owner = routes_.find(parents_[column]); owner != routes_.end()) {
+    owner->second.column = pooled;
+  }
+  parents_[column].clear();
+  exposure_products_[column].fill(0);
+  for (auto& it : exposure_products_) {
+    it[column] = 0;
+  }
+  for (auto& [child, it] : children_) {
+    it.products[column] = 0;
   }
 }
 
-call_observer::fit call_observer::fit_rates(const std::string& child,
-                                            const std::vector<std::string>& parents) const {
+call_observer::fit call_observer::fit_rates(const child_activity& child,
+                                            const std::vector<std::size_t>& parents) const {
   fit result;
-  for (int i = 0; i < descent_passes; ++i) {
-    for (const auto& parent : parents) {
-      const double own = sum_or_zero(exposure_products_, parent, parent);
-      double residual = sum_or_zero(exposure_call_products_, parent, child);
-      for (const auto& other : parents) {
+  double change = converged_change * 2;
+  for (int i = 0; i < descent_passes && change > converged_change; ++i) {
+    change = 0;
+    for (const std::size_t parent : parents) {
+      const double own = exposure_products_[parent][parent];
+      double residual = child.products[parent];
+      for (const std::size_t other : parents) {
         if (other != parent) {
-          residual -= sum_or_zero(exposure_products_, parent, other) * result.rates[other];
+          residual -= exposure_products_[parent][other] * result.rates[other];
         }
       }
-      result.rates[parent] = own <= 0 ? 0.0 : std::max(0.0, residual / own);
+      const double rate = own <= 0 ? 0.0 : std::max(0.0, residual / own);
+      change = std::max(change, std::abs(rate - result.rates[parent]));
+      result.rates[parent] = rate;
     }
   }
-  const auto squares = call_squares_.find(child);
-  result.error = squares == call_squares_.end() ? 0.0 : squares->second;
-  for (const auto& parent : parents) {
-    result.error -= 2 * result.rates[parent] * sum_or_zero(exposure_call_products_, parent, child);
-    for (const auto& other : parents) {
-      result.error += result.rates[parent] * result.rates[other] *
-                      sum_or_zero(exposure_products_, parent, other);
+  result.error = child.squares;
+  for (const std::size_t parent : parents) {
+    result.error -= 2 * result.rates[parent] * child.products[parent];
+    for (const std::size_t other : parents) {
+      result.error +=
+          result.rates[parent] * result.rates[other] * exposure_products_[parent][other];
     }
   }
   return result;
 }
 
-call_observer::fit call_observer::fit_significant_parents(const std::string& child) const {
-  std::vector<std::string> parents;
-  for (const auto& [route, it] : activity_) {
-    if (sum_or_zero(exposure_call_products_, route, child) > 0) {
-      parents.push_back(route);
+call_observer::fit call_observer::fit_significant_parents(const child_activity& child) const {
+  std::vector<std::size_t> parents;
+  for (std::size_t i = 0; i < child.products.size(); ++i) {
+    if (child.products[i] > 0) {
+      parents.push_back(i);
     }
   }
   fit best = fit_rates(child, parents);
+  const auto drop_zero_rates = [&] {
+    std::erase_if(parents, [&](std::size_t it) { return best.rates[it] <= 0; });
+  };
+  drop_zero_rates();
   while (parents.size() > 1) {
     std::optional<fit> next;
-    std::size_t dropped = 0;
     for (std::size_t i = 0; i < parents.size(); ++i) {
       auto fewer = parents;
       fewer.erase(fewer.begin() + static_cast<std::ptrdiff_t>(i));
       fit without = fit_rates(child, fewer);
       if (!next || without.error < next->error) {
-        next = std::move(without);
-        dropped = i;
+        next = without;
       }
     }
     if (next->error - best.error > significance * best.error / std::max(1.0, intervals_)) {
       break;
     }
-    best = std::move(*next);
-    parents.erase(parents.begin() + static_cast<std::ptrdiff_t>(dropped));
+    best = *next;
+    drop_zero_rates();
   }
   return best;
 }
 
 std::vector<call_ratio> call_observer::ratios() const {
   std::vector<call_ratio> result;
-  for (const auto& [child, squares] : call_squares_) {
-    for (const auto& [parent, rate] : fit_significant_parents(child).rates) {
-      const auto cost = costs_.find(parent);
-      if (cost == costs_.end()) {
+  for (const auto& [child, activity] : children_) {
+    const fit found = fit_significant_parents(activity);
+    for (std::size_t i = 0; i < parents_.size(); ++i) {
+      const auto parent = routes_.find(parents_[i]);
+      if (found.rates[i] <= 0 || parent == routes_.end() || parent->second.answered_runs <= 0) {
         continue;
       }
-      const double calls = rate * cost->second.seconds / cost->second.runs;
+      const route_activity& it = parent->second;
+      const double calls = found.rates[i] * it.answered_seconds / it.answered_runs;
       if (calls >= min_ratio) {
-        result.push_back({parent, child, calls, cost->second.runs});
+        result.push_back({parent->first, child, calls, it.answered_runs});
       }
     }
   }
@@ -168,9 +221,10 @@
 
 std::vector<route_cost> call_observer::costs() const {
   std::vector<route_cost> result;
-  for (const auto& [route, it] : costs_) {
-    if (it.runs > 0) {
-      result.push_back({route, it.service, it.seconds / it.runs, it.runs});
+  for (const auto& [route, it] : routes_) {
+    if (it.answered_runs > 0) {
+      result.push_back(
+          {route, it.service, it.answered_seconds / it.answered_runs, it.answered_runs});
     }
   }
   return result;
--- a/source/traffic/traffic.h
+++ b/source/traffic/traffic.h
@@ -4,6 +4,7 @@
 /// the entry. Functions that depend on the time take it as an argument; none reads a clock.
 #pragma once
 
+#include <array>
 #include <compare>
 #include <cstdint>
 #include <deque>
@@ -349,6 +350,9 @@
 /// of each route were in progress (non-negative least squares with exponential forgetting). Routes
 /// without a significant contribution are left out, so that a route that happens to run at the same
 /// time is not taken for a cause.
+///
+/// The work does not grow with the number of routes: only the busiest ones are told apart as
+/// parents, the others are regressed as one. Routes that no longer run are forgotten.
 class call_observer {
  public:
   /// A run begins or ends at the target, however it ends.
@@ -356,45 +360,63 @@
   void run_ended(time_point now, const std::string& route);
   /// A run was answered after holding a slot for this long.
   void run_answered(const std::string& route, const std::string& service, duration held);
-  void call_made(const std::string& route) { interval_calls_[route] += 1; }
+  void call_made(const std::string& route) { children_[route].interval_calls += 1; }
   /// Ends an interval; call it every 50 ms.
   void end_interval(time_point now);
   std::vector<call_ratio> ratios() const;
   std::vector<route_cost> costs() const;
+  /// @return number of routes that are remembered.
+  std::size_t routes() const { return routes_.size(); }
 
  private:
+  static constexpr std::size_t max_parents = 12;
+  /// Column of the routes that are not told apart.
+  static constexpr std::size_t pooled = max_parents;
+  /// One number for each parent, and one for the pooled routes.
+  using columns = std::array<double, max_parents + 1>;
+
   struct route_activity {
     double runs = 0;
     time_point updated{};
     /// Run-seconds in this interval.
     double exposure = 0;
-  };
-  struct cost_sum {
+    /// Decayed sum of run-seconds.
+    double recent_exposure = 0;
+    std::size_t column = pooled;
+    /// Service at which the runs were answered, their time and their number.
     std::string service;
-    double seconds = 0;
-    double runs = 0;
+    double answered_seconds = 0;
+    double answered_runs = 0;
+  };
+  struct child_activity {
+    double interval_calls = 0;
+    /// Decayed sums of squared calls, and of products of run-seconds and calls.
+    double squares = 0;
+    columns products{};
   };
-  using route_pair = std::pair<std::string, std::string>;
 
   /// Calls a second of a run, by parent, and the squared error that remains.
   struct fit {
-    std::map<std::string, double> rates;
+    columns rates{};
     double error = 0;
   };
 
   route_activity& advance(time_point now, const std::string& route);
-  fit fit_rates(const std::string& child, const std::vector<std::string>& parents) const;
+  void forget_idle_routes();
+  /// Tells the busiest routes apart.
+  void assign_columns();
+  void clear_column(std::size_t column);
+  fit fit_rates(const child_activity& child, const std::vector<std::size_t>& parents) const;
   /// Fits the child's calls and leaves out parents without a significant contribution.
-  fit fit_significant_parents(const std::string& child) const;
-
-  std::map<std::string, route_activity> activity_;
-  std::map<std::string, double> interval_calls_;
-  /// Decayed sums of products of run-seconds, and of run-seconds with calls.
-  std::map<route_pair, double> exposure_products_;
-  std::map<route_pair, double> exposure_call_products_;
-  std::map<std::string, double> call_squares_;
+  fit fit_significant_parents(const child_activity& child) const;
+
+  std::map<std::string, route_activity> routes_;
+  /// Route of each column; empty when the column is free.
+  std::array<std::string, max_parents> parents_;
+  /// Decayed sums of products of run-seconds.
+  std::array<columns, max_parents + 1> exposure_products_{};
+  std::map<std::string, child_activity> children_;
   double intervals_ = 0;
-  std::map<std::string, cost_sum> costs_;
 };
 
 /// Estimates which calls of a target were made by repeated runs. A retry at the top of a call graph
