Do not begin a call between nodes that was cancelled while it waited

Callers saw: work went on for requests that they had given up (GONE), where the node of the target was the one that was held up: it read the call, began it at its target, and read the cancellation right behind it.

Cause: frames are handled one by one in the order of their arrival, and a call begins at once.

Change: calls begin after all frames that have arrived on the link were read; a cancellation among them removes its call.

Test: "A call that was cancelled while it waited at a node that was held up does not begin" failed before (2 calls began, 1 expected).

Not covered: a cancellation more than 64 KB behind its call, which is read in the next round of events.

--- a/source/fleet/fleet.h
+++ b/source/fleet/fleet.h
@@ -437,6 +437,9 @@
   void accept(int fd);
   void on_inbound_data(std::uint64_t id);
   void close_inbound(std::uint64_t id);
+  /// Takes the time that a call spent on the link off its time left.
+  void subtract_delay(inbound_link& link, call_frame& call) const;
+  /// Handles any frame but calls and their cancellations.
   void handle(inbound_link& link, frame value);
   /// Asks nodes for their status whose state is old or whose calls go unanswered, and closes links
   /// that deliver nothing. A link can be silent in one direction while TCP finds it in order.
--- a/source/fleet/network.cpp
+++ b/source/fleet/network.cpp
@@ -351,34 +351,49 @@
 }
 
 void network::on_inbound_data(std::uint64_t id) {
+  // Calls begin after all frames that have arrived were read, since one of these may cancel them.
+  std::vector<call_frame> calls;
   while (true) {
     const auto found = inbound_.find(id);
     if (found == inbound_.end()) {
       return;
     }
-    auto next = decode(found->second->connection->input());
+    inbound_link& link = *found->second;
+    auto next = decode(link.connection->input());
     if (next.malformed) {
       close_inbound(id);
       return;
     }
     if (!next.value) {
-      return;
+      break;
+    }
+    if (auto* call = std::get_if<call_frame>(&*next.value)) {
+      subtract_delay(link, *call);
+      calls.push_back(std::move(*call));
+    } else if (const auto* cancelled = std::get_if<cancel_frame>(&*next.value)) {
+      const auto waiting =
+          std::erase_if(calls, [&](const call_frame& it) { return it.id == cancelled->id; });
+      if (waiting == 0) {
+        callbacks_.on_cancel(id, cancelled->id);
+      }
+    } else {
+      handle(link, std::move(*next.value));
     }
-    handle(*found->second, std::move(*next.value));
   }
+  for (auto& it : calls) {
+    callbacks_.on_call(id, std::move(it));
+  }
+}
+
+void network::subtract_delay(inbound_link& link, call_frame& call) const {
+  const std::int64_t offset = microseconds_of(loop_.now()) - call.sent_us;
+  link.min_offset_us = std::min(link.min_offset_us, offset);
+  const auto delay_ms = static_cast<std::uint32_t>((offset - link.min_offset_us) / 1'000);
+  call.remaining_ms -= std::min(call.remaining_ms, delay_ms);
 }
 
 void network::handle(inbound_link& link, frame value) {
-  const std::uint64_t id = link.id;
-  if (auto* call = std::get_if<call_frame>(&value)) {
-    const std::int64_t offset = microseconds_of(loop_.now()) - call->sent_us;
-    link.min_offset_us = std::min(link.min_offset_us, offset);
-    const auto delay_ms = static_cast<std::uint32_t>((offset - link.min_offset_us) / 1'000);
-    call->remaining_ms -= std::min(call->remaining_ms, delay_ms);
-    callbacks_.on_call(id, std::move(*call));
-  } else if (const auto* cancelled = std::get_if<cancel_frame>(&value)) {
-    callbacks_.on_cancel(id, cancelled->id);
-  } else if (const auto* status = std::get_if<status_frame>(&value)) {
+  if (const auto* status = std::get_if<status_frame>(&value)) {
     handle_status(link, *status);
   } else if (const auto* load = std::get_if<load_frame>(&value)) {
     if (is_current_incarnation(link.node, link.incarnation)) {
--- a/tests/fleet/frames_test.cpp
+++ b/tests/fleet/frames_test.cpp
@@ -162,6 +162,25 @@
   CHECK(two.cancelled.front() == *id);
 }
 
+TEST_CASE("A call that was cancelled while it waited at a node that was held up does not begin") {
+  event::loop loop;
+  peer one(loop, "one", first_port);
+  peer two(loop, "two", second_port);
+  REQUIRE(one.links.listen());
+  REQUIRE(two.links.listen());
+  one.links.add_node("two", "one", {"127.0.0.1", second_port});
+  REQUIRE(run_until(loop, [&] { return one.links.nodes().at("two").connected; }));
+  const auto ignore = [](fleet::answer_frame) {};
+  const auto first = one.links.call("two", sample_call(), ignore);
+  const auto second = one.links.call("two", sample_call(), ignore);
+  REQUIRE(first);
+  one.links.cancel("two", *first);
+  REQUIRE(run_until(loop, [&] { return !two.calls.empty(); }));
+  REQUIRE(two.calls.size() == 1);
+  CHECK(two.calls.front().id == *second);
+  CHECK(two.cancelled.empty());
+}
+
 TEST_CASE("A digest reaches every node of the other data centre through one of them") {
   event::loop loop;
   peer near(loop, "a1", first_port, "one");
