--- a/source/sidecar/upstream_executor.cpp
+++ b/source/sidecar/upstream_executor.cpp
@@ -367,6 +367,30 @@
   }
 }
 
+void upstream_executor::note_notice(const connection& from, const adapter::target_notice& notice) {
+  if (from.instance != instance_) {
+    return;
+  }
+  if (notice.malformed_limit) {
+    log_.request(log_line("target_limit_malformed")
+                     .field("instance", instance_)
+                     .field("request", from.current.call.request_id));
+  } else if (notice.requests_per_s != named_limit_) {
+    named_limit_ = notice.requests_per_s;
+    log_line line("target_limit");
+    line.field("instance", instance_);
+    if (named_limit_) {
+      line.field("requests_per_s", std::to_string(*named_limit_));
+    } else {
+      line.field("lifted", 1);
+    }
+    log_.state(line);
+  }
+  if (notice.leaving && state_ != target_state::leaving) {
+    log_.state(log_line("target_says_leaving").field("instance", instance_));
+  }
+}
+
 void upstream_executor::complete(connection& from) {
   auto& message = from.reader.message();
   from.reusable = from.reusable && message.keep_alive && !from.reader.until_close() &&
@@ -379,6 +403,9 @@
   const std::string* id = fields.find(adapter::header::request_id);
   const bool not_run = message.status == 421 || fields.find(adapter::header::not_run) != nullptr;
   const bool own = id != nullptr && *id == from.current.call.request_id;
+  if (own && message.status != 421) {
+    note_notice(from, adapter::read_notice(fields));
+  }
   if (not_run) {
     if (message.status == 421) {
       target_lost("another target has the address");
--- a/source/sidecar/upstream_executor.h
+++ b/source/sidecar/upstream_executor.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <tuple>
 #include <unordered_map>
@@ -152,6 +153,8 @@
   void limit_answer_bytes();
   /// Takes note of how much of the current answer is kept.
   void count_answer_bytes(connection& from, std::size_t n);
+  /// Takes note of what the target says of itself in an answer.
+  void note_notice(const connection& from, const adapter::target_notice& notice);
   void complete(connection& from);
   void finish(connection& from, fleet::answer_frame result);
   void drop_connection(std::uint64_t id, bool abort);
@@ -174,6 +177,8 @@
   std::uint32_t slots_ = 0;
   time_point leaving_since_{};
   time_point warm_at_{};
+  /// Requests a second that the target's last answer has named.
+  std::optional<double> named_limit_;
 
   std::uint64_t next_id_ = 1;
   std::map<queue_key, queued_call> queue_;
--- a/tests/adapter/adapter_test.cpp
+++ b/tests/adapter/adapter_test.cpp
@@ -182,3 +182,30 @@
   CHECK(put.body == R"({"metadata":{"name":"n","revision":4},"spec":{}})");
   CHECK(adapter::create_object("k", "n", "{}").method == "POST");
 }
+
+TEST_CASE("A limit that is no number of requests is told apart from no limit") {
+  const auto notice = [](const std::string& limit) {
+    http::header_fields answer;
+    answer.add("server-limit", limit);
+    return adapter::read_notice(answer);
+  };
+  CHECK(notice("16.25").requests_per_s == 16.25);
+  CHECK(notice("0").requests_per_s == 0.0);
+  for (const char* text : {"", "-1", "12 ", "1e3", "nan", "inf", "0x10", "12,5", "1.2.3"}) {
+    CAPTURE(text);
+    CHECK(notice(text).malformed_limit);
+    CHECK_FALSE(notice(text).requests_per_s);
+  }
+  CHECK(adapter::read_notice({}) == adapter::target_notice{});
+}
+
+TEST_CASE("Only a target that says so in its answer is leaving") {
+  const auto leaving = [](const std::string& value) {
+    http::header_fields answer;
+    answer.add("Server-Leaving", value);
+    return adapter::read_notice(answer).leaving;
+  };
+  CHECK(leaving("1"));
+  CHECK_FALSE(leaving("0"));
+  CHECK_FALSE(leaving(""));
+}
