Keep requests to a target within the limit that its answers name

Cause: nothing read the limit. Class of fault: a statement of a target is passed on to callers and not acted upon.

Change: traffic::target_rate_limit spaces out what the node beside the target sends, since the limit is for the whole fleet and this node sees all of it. The queue's expected wait follows the limit, so that what can't be served in time is refused unsent and tried elsewhere; the slots told to other nodes follow it, so that placement draws the target less often and entries plan with less. A later answer without a limit lifts it, another start of the target forgets it.

--- a/source/sidecar/upstream_executor.cpp
+++ b/source/sidecar/upstream_executor.cpp
@@ -1,6 +1,7 @@
 #include "sidecar/upstream_executor.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace damaskledge::sidecar {
@@ -22,6 +23,8 @@
 constexpr milliseconds min_retry_after{50};
 /// While the target warms up, this part of its slots is used.
 constexpr double warming_slot_use = 0.6;
+/// Smallest change of the limit that the target names, as a part of it, that is logged.
+constexpr double logged_limit_change = 0.1;
 const http::message_limits answer_limits{64UL * 1024UL, 32UL * 1024UL * 1024UL};
 
 } // namespace
@@ -97,6 +100,9 @@
       drop_connection(it, false);
     }
   }
+  if (!same) {
+    rate_limit_.reset();
+  }
   instance_ = value.instance;
   started_ = value.started;
   sequence_ = value.sequence;
@@ -139,12 +145,16 @@
   return std::max<std::size_t>(1, static_cast<std::size_t>(part * slots));
 }
 
+bool upstream_executor::may_start() {
+  return running_.size() < limit() && rate_limit_.may_send(loop_.now());
+}
+
 fleet::target_status upstream_executor::status() const {
   fleet::target_status result;
   result.service = options_.service;
   result.instance = instance_;
   result.ready = state_ == target_state::ready;
-  result.slots = static_cast<std::uint32_t>(limit());
+  result.slots = static_cast<std::uint32_t>(rate_limit_.usable_slots(limit(), mean_held_s_));
   result.in_flight = static_cast<std::uint32_t>(running_.size());
   result.queued = static_cast<std::uint32_t>(queue_.size());
   result.slowness = static_cast<float>(slowness_ * failures_.penalty());
@@ -173,9 +183,10 @@
 
 duration upstream_executor::expected_wait(const queue_key& before) const {
   const auto ahead =
-      static_cast<double>(std::distance(queue_.begin(), queue_.lower_bound(before)) + 1);
-  return std::chrono::duration_cast<duration>(
-      std::chrono::duration<double>(ahead * mean_held_s_ / static_cast<double>(limit())));
+      static_cast<std::size_t>(std::distance(queue_.begin(), queue_.lower_bound(before)) + 1);
+  const auto for_slot = std::chrono::duration_cast<duration>(std::chrono::duration<double>(
+      static_cast<double>(ahead) * mean_held_s_ / static_cast<double>(limit())));
+  return std::max(for_slot, rate_limit_.expected_wait(ahead));
 }
 
 upstream_executor::call_id upstream_executor::submit(upstream_call call, completion done) {
@@ -190,7 +201,7 @@
            milliseconds(500));
     return id;
   }
-  if (running_.size() < limit() && queue_.empty()) {
+  if (queue_.empty() && may_start()) {
     start(std::move(queued));
     return id;
   }
@@ -211,10 +222,13 @@
 }
 
 void upstream_executor::start_queued() {
-  while (!queue_.empty() && running_.size() < limit()) {
+  while (!queue_.empty()) {
     const bool usable =
         state_ == target_state::ready || (state_ == target_state::leaving &&
                                           loop_.now() - leaving_since_ < options_.drain_limit / 2);
+    if (usable && !may_start()) {
+      return;
+    }
     auto node = queue_.extract(queue_.begin());
     queue_index_.erase(node.mapped().id);
     if (usable) {
@@ -273,6 +287,7 @@
   }
   wire += "\r\n";
   wire += call.call.body;
+  rate_limit_.sent(loop_.now());
   running_.emplace(call.id, to.id);
   if (running_.size() == 1) {
     last_sign_of_life_ = loop_.now();
@@ -367,7 +382,7 @@
   }
 }
 
-void upstream_executor::note_notice(const connection& from, const adapter::target_notice& notice) {
+void upstream_executor::apply_notice(const connection& from, const adapter::target_notice& notice) {
   if (from.instance != instance_) {
     return;
   }
@@ -375,22 +390,32 @@
     log_.request(log_line("target_limit_malformed")
                      .field("instance", instance_)
                      .field("request", from.current.call.request_id));
-  } else if (notice.requests_per_s != named_limit_) {
-    named_limit_ = notice.requests_per_s;
-    log_line line("target_limit");
-    line.field("instance", instance_);
-    if (named_limit_) {
-      line.field("requests_per_s", std::to_string(*named_limit_));
-    } else {
-      line.field("lifted", 1);
-    }
-    log_.state(line);
+  } else if (rate_limit_.answered(loop_.now(), from.started, notice.requests_per_s)) {
+    log_limit();
   }
   if (notice.leaving && state_ != target_state::leaving) {
     log_.state(log_line("target_says_leaving").field("instance", instance_));
   }
 }
 
+void upstream_executor::log_limit() {
+  const auto limit = rate_limit_.limit();
+  const bool similar = limit && logged_limit_ &&
+                       std::abs(*limit - *logged_limit_) < *logged_limit_ * logged_limit_change;
+  if (similar || limit == logged_limit_) {
+    return;
+  }
+  logged_limit_ = limit;
+  log_line line("target_limit");
+  line.field("instance", instance_);
+  if (limit) {
+    line.field("requests_per_s", std::to_string(*limit));
+  } else {
+    line.field("lifted", 1);
+  }
+  log_.state(line);
+}
+
 void upstream_executor::complete(connection& from) {
   auto& message = from.reader.message();
   from.reusable = from.reusable && message.keep_alive && !from.reader.until_close() &&
@@ -404,7 +429,7 @@
   const bool not_run = message.status == 421 || fields.find(adapter::header::not_run) != nullptr;
   const bool own = id != nullptr && *id == from.current.call.request_id;
   if (own && message.status != 421) {
-    note_notice(from, adapter::read_notice(fields));
+    apply_notice(from, adapter::read_notice(fields));
   }
   if (not_run) {
     if (message.status == 421) {
@@ -566,6 +591,8 @@
     queue_index_.erase(expired.mapped().id);
     refuse(expired.mapped(), "waited too long", false, expected_wait(expired.key()));
   }
+  // No answer may come at the time at which the limit of the target allows the next request.
+  start_queued();
   std::vector<std::uint64_t> failed;
   for (const auto& [id, it] : connections_) {
     if (it->current.id != 0 && !it->stream->connected() && now >= it->connect_by) {
--- a/source/sidecar/upstream_executor.h
+++ b/source/sidecar/upstream_executor.h
@@ -140,6 +140,8 @@
   using queue_key = std::tuple<bool, unsigned, std::uint64_t>;
 
   std::size_t limit() const;
+  /// @return true if the target may get a further request now.
+  bool may_start();
   duration expected_wait(const queue_key& before) const;
   void start(queued_call call);
   void start_queued();
@@ -153,8 +155,9 @@
   void limit_answer_bytes();
   /// Takes note of how much of the current answer is kept.
   void count_answer_bytes(connection& from, std::size_t n);
-  /// Takes note of what the target says of itself in an answer.
-  void note_notice(const connection& from, const adapter::target_notice& notice);
+  /// Applies what the target says of itself in an answer.
+  void apply_notice(const connection& from, const adapter::target_notice& notice);
+  void log_limit();
   void complete(connection& from);
   void finish(connection& from, fleet::answer_frame result);
   void drop_connection(std::uint64_t id, bool abort);
@@ -177,8 +180,9 @@
   std::uint32_t slots_ = 0;
   time_point leaving_since_{};
   time_point warm_at_{};
-  /// Requests a second that the target's last answer has named.
-  std::optional<double> named_limit_;
+  traffic::target_rate_limit rate_limit_;
+  /// Limit that was logged last.
+  std::optional<double> logged_limit_;
 
   std::uint64_t next_id_ = 1;
   std::map<queue_key, queued_call> queue_;
--- a/source/traffic/traffic.h
+++ b/source/traffic/traffic.h
@@ -446,6 +446,47 @@
   std::unordered_map<std::string, expected_calls> expected_;
 };
 
+/// Keeps the requests to one target within the limit that its answers name. The limit holds for the
+/// whole fleet, and the node beside the target passes on every request to it, so this node alone
+/// spaces them out. It answers an overload that the target knows of and others can't see: its slots
+/// stay as announced.
+class target_rate_limit {
+ public:
+  /// Applies what an answer says.
+  /// @param sent when the answered request was sent. An answer without a limit lifts the limit only
+  /// if its request was sent after the limit was named; answers can overtake each other.
+  /// @param requests_per_s the limit that the answer names, or nothing.
+  /// @return true if the limit has changed.
+  bool answered(time_point now, time_point sent, std::optional<double> requests_per_s);
+  /// Forgets the limit; for another start of the target.
+  void reset() { limit_.reset(); }
+  /// @return the limit in requests a second, or nothing.
+  std::optional<double> limit() const { return limit_; }
+  /// @return true if a request may be sent now.
+  bool may_send(time_point now);
+  /// Counts a request that is sent.
+  void sent(time_point now);
+  /// @return time until the last of this many waiting requests may be sent, as far as it depends on
+  /// the limit.
+  duration expected_wait(std::size_t requests) const;
+  /// @param slots requests that the target may run at once.
+  /// @param held_s mean time for which a request holds a slot, in seconds.
+  /// @return the slots that the limit allows to be in use, at least 1.
+  std::size_t usable_slots(std::size_t slots, double held_s) const;
+
+ private:
+  /// @return requests a second, at least enough to learn of the limit's end.
+  double rate() const;
+  double burst() const;
+  void advance(time_point now);
+
+  std::optional<double> limit_;
+  time_point named_at_{};
+  /// Requests that may be sent at `updated_`; not kept without a limit.
+  double tokens_ = 0;
+  time_point updated_{};
+};
+
 /// Class of requests that admission at the entry treats alike.
 struct request_class {
   std::string route;
--- a/tests/sidecar/executor_test.cpp
+++ b/tests/sidecar/executor_test.cpp
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include <doctest/doctest.h>
 
 #include "sidecar/http_service.h"
@@ -415,3 +417,35 @@
   }
   CHECK(executor->status().slowness > 8);
 }
+
+TEST_CASE_FIXTURE(
+    executor_fixture,
+    "A target that names a limit gets no more, and what can't wait is refused unsent") {
+  std::string limit = "Server-Limit: 20\r\n";
+  target.on_request = [&](sidecar::request_handle from, const http::request& it) {
+    target.respond(from, test::answer_head(*it.fields.find("X-Request-Id")) + limit, "whole");
+  };
+  executor->announced(announcement(2, 100));
+  const auto slots = executor->status().slots;
+  submit(call("first"));
+  REQUIRE(answered(1));
+  CHECK(executor->status().slots < slots / 10);
+  constexpr std::size_t offered = 200;
+  const time_point began = loop.refresh_now();
+  for (std::size_t i = 0; i < offered; ++i) {
+    submit(call(std::to_string(i)));
+  }
+  REQUIRE(answered(1 + offered));
+  const double taken = std::chrono::duration<double>(loop.refresh_now() - began).count();
+  const auto served = static_cast<std::size_t>(
+      std::count_if(answers.begin(), answers.end(), [](const fleet::answer_frame& it) {
+        return static_cast<call_result>(it.result) == call_result::answered;
+      }));
+  CHECK(static_cast<double>(served) <= 1 + 20 * 1.5 * taken + 5);
+  CHECK(served >= 5);
+  CHECK(target.requests.size() == served);
+  limit.clear();
+  submit(call("last"));
+  REQUIRE(answered(2 + offered));
+  CHECK(executor->status().slots == slots);
+}
