Send nothing more to a target whose answer says that it leaves

Cause: nothing read the mark; a target was known to leave by its announcements only.

Test: "A target whose answer says that it leaves gets nothing more before a new start" failed before.

--- a/source/sidecar/upstream_executor.cpp
+++ b/source/sidecar/upstream_executor.cpp
@@ -394,7 +394,8 @@
     log_limit();
   }
   if (notice.leaving && state_ != target_state::leaving) {
-    log_.state(log_line("target_says_leaving").field("instance", instance_));
+    leaving_since_ = loop_.now();
+    set_state(target_state::leaving, "answer");
   }
 }
 
--- a/tests/sidecar/executor_test.cpp
+++ b/tests/sidecar/executor_test.cpp
@@ -449,3 +449,27 @@
   REQUIRE(answered(2 + offered));
   CHECK(executor->status().slots == slots);
 }
+
+TEST_CASE_FIXTURE(
+    executor_fixture,
+    "A target whose answer says that it leaves gets nothing more before a new start") {
+  target.on_request = [&](sidecar::request_handle from, const http::request& it) {
+    target.respond(
+        from, test::answer_head(*it.fields.find("X-Request-Id")) + "Server-Leaving: 1\r\n", "x");
+  };
+  submit(call("a"));
+  REQUIRE(answered(1));
+  CHECK(result(0) == call_result::answered);
+  CHECK_FALSE(executor->status().ready);
+  executor->announced(announcement(2, 10));
+  submit(call("b"));
+  REQUIRE(answered(2));
+  CHECK(result(1) == call_result::not_run);
+  CHECK(target.requests.size() == 1);
+  auto next = announcement(1, 10);
+  next.started = 200;
+  executor->announced(next);
+  submit(call("c"));
+  REQUIRE(answered(3));
+  CHECK(result(2) == call_result::answered);
+}
