Keep a leaving target out of use when the node does not know its start

Callers saw: requests sent to a target 2,099 to 2,294 ms after its node had acknowledged the leave (DRAIN, bound 2,000), and then failures.

Cause: a restarted node knows its target by a health check, which names the target and not its start. It compared the unknown start (0) with the one of a late announcement, took it for another start and went back to ready. Class of fault: an unknown version that is compared with a known one.

Change: target_identity keeps what is known of the start apart from what is not, and decides the order of announcements, health checks, farewells and marks in answers without a network. While the start is unknown, an announcement of a start from before the leave teaches the start and changes nothing else; a later start is used at once. The comparison uses the wall clock of the one VM on which both run, and allows for a clock that is set between the two.

--- a/source/sidecar/agent.cpp
+++ b/source/sidecar/agent.cpp
@@ -280,7 +280,7 @@
 
 void agent::identify_target() {
   const traffic::service* service = configuration_->find_service(settings_.service);
-  if (service == nullptr || target_->announced_once() || health_.busy()) {
+  if (service == nullptr || target_->known() || health_.busy()) {
     return;
   }
   http::request probe;
--- a/source/sidecar/upstream_executor.cpp
+++ b/source/sidecar/upstream_executor.cpp
@@ -76,7 +76,7 @@
     return;
   }
   log_.state(log_line("target_state")
-                 .field("instance", instance_)
+                 .field("instance", identity_.instance())
                  .field("from", to_string(state_))
                  .field("to", to_string(state))
                  .field("why", why));
@@ -85,58 +85,49 @@
 }
 
 void upstream_executor::announced(const adapter::target_announcement& value) {
-  const bool same = value.instance == instance_ && value.started == started_;
-  const bool late = same ? value.sequence <= sequence_ : value.started < started_;
-  const bool foreign = value.service != options_.service || value.address != options_.target;
-  if (late || foreign) {
+  const auto log_ignored = [&](std::string_view why) {
     log_.state(log_line("announcement_ignored")
                    .field("instance", value.instance)
-                   .field("why", foreign ? "another service or address" : "older than known")
+                   .field("why", why)
                    .field("sequence", static_cast<std::int64_t>(value.sequence)));
+  };
+  if (value.service != options_.service || value.address != options_.target) {
+    log_ignored("another service or address");
+    return;
+  }
+  const std::string before = identity_.instance();
+  const auto change = identity_.announced(now(), value);
+  if (change == target_identity::change::none) {
+    log_ignored("older than known");
     return;
   }
-  if (!same && value.instance != instance_) {
+  if (change == target_identity::change::other_start) {
+    rate_limit_.reset();
+  }
+  if (value.instance != before) {
     for (const std::uint64_t it : std::vector<std::uint64_t>(idle_)) {
       drop_connection(it, false);
     }
   }
-  if (!same) {
-    rate_limit_.reset();
-  }
-  instance_ = value.instance;
-  started_ = value.started;
-  sequence_ = value.sequence;
   slots_ = value.slots;
   warm_at_ = loop_.now() + value.warming_up;
-  if (!value.leaving) {
-    // A target that has begun to leave does not come back under the same start.
-    if (!(same && state_ == target_state::leaving)) {
-      set_state(target_state::ready, "announced");
-    }
-  } else if (state_ != target_state::leaving) {
-    leaving_since_ = loop_.now();
-    set_state(target_state::leaving, "announced");
+  if (identity_.leaving() && !value.leaving) {
+    log_ignored("from before the leave");
   }
+  set_state(identity_.leaving() ? target_state::leaving : target_state::ready, "announced");
   start_queued();
 }
 
 void upstream_executor::farewell(const std::string& instance) {
-  if (instance != instance_ && !instance_.empty()) {
-    return;
+  if (identity_.leaves(now(), instance)) {
+    set_state(target_state::leaving, "farewell");
   }
-  if (state_ != target_state::leaving) {
-    leaving_since_ = loop_.now();
-  }
-  instance_ = instance;
-  set_state(target_state::leaving, "farewell");
 }
 
 void upstream_executor::identified(const std::string& instance) {
-  if (!instance_.empty()) {
-    return;
+  if (identity_.identified(instance)) {
+    set_state(target_state::ready, "health check");
   }
-  instance_ = instance;
-  set_state(target_state::ready, "health check");
 }
 
 std::size_t upstream_executor::limit() const {
@@ -152,7 +143,7 @@
 fleet::target_status upstream_executor::status() const {
   fleet::target_status result;
   result.service = options_.service;
-  result.instance = instance_;
+  result.instance = identity_.instance();
   result.ready = state_ == target_state::ready;
   result.slots = static_cast<std::uint32_t>(rate_limit_.usable_slots(limit(), mean_held_s_));
   result.in_flight = static_cast<std::uint32_t>(running_.size());
@@ -221,11 +212,16 @@
   return id;
 }
 
+bool upstream_executor::runs_queued() const {
+  if (const auto& since = identity_.leaving_since(); state_ == target_state::leaving && since) {
+    return loop_.now() - since->steady < options_.drain_limit / 2;
+  }
+  return state_ == target_state::ready;
+}
+
 void upstream_executor::start_queued() {
   while (!queue_.empty()) {
-    const bool usable =
-        state_ == target_state::ready || (state_ == target_state::leaving &&
-                                          loop_.now() - leaving_since_ < options_.drain_limit / 2);
+    const bool usable = runs_queued();
     if (usable && !may_start()) {
       return;
     }
@@ -277,9 +273,9 @@
   call.call.head.clear();
   wire += adapter::header::time_left;
   wire += ": " + std::to_string(left.count()) + "\r\n";
-  if (!instance_.empty()) {
+  if (!identity_.instance().empty()) {
     wire += adapter::header::expected_instance;
-    wire += ": " + instance_ + "\r\n";
+    wire += ": " + identity_.instance() + "\r\n";
   }
   const bool bodiless = wire.rfind("GET ", 0) == 0 || wire.rfind("HEAD ", 0) == 0;
   if (!bodiless || !call.call.body.empty()) {
@@ -296,8 +292,8 @@
   if (call.call.repeat) {
     repeats_.repeat_started(loop_.now(), call.call.route);
   }
-  crashes_.started(loop_.now(), call.call.fingerprint, instance_);
-  to.instance = instance_;
+  crashes_.started(loop_.now(), call.call.fingerprint, identity_.instance());
+  to.instance = identity_.instance();
   to.started = loop_.now();
   to.abandoned = false;
   to.request_sent = true;
@@ -383,18 +379,17 @@
 }
 
 void upstream_executor::apply_notice(const connection& from, const adapter::target_notice& notice) {
-  if (from.instance != instance_) {
+  if (from.instance != identity_.instance()) {
     return;
   }
   if (notice.malformed_limit) {
     log_.request(log_line("target_limit_malformed")
-                     .field("instance", instance_)
+                     .field("instance", identity_.instance())
                      .field("request", from.current.call.request_id));
   } else if (rate_limit_.answered(loop_.now(), from.started, notice.requests_per_s)) {
     log_limit();
   }
-  if (notice.leaving && state_ != target_state::leaving) {
-    leaving_since_ = loop_.now();
+  if (notice.leaving && identity_.leaves(now(), from.instance)) {
     set_state(target_state::leaving, "answer");
   }
 }
@@ -408,7 +403,7 @@
   }
   logged_limit_ = limit;
   log_line line("target_limit");
-  line.field("instance", instance_);
+  line.field("instance", identity_.instance());
   if (limit) {
     line.field("requests_per_s", std::to_string(*limit));
   } else {
@@ -529,7 +524,7 @@
 }
 
 void upstream_executor::target_lost(const std::string& why) {
-  crashes_.died(loop_.now(), instance_);
+  crashes_.died(loop_.now(), identity_.instance());
   if (state_ == target_state::ready) {
     set_state(target_state::unreachable, why);
   }
--- a/source/sidecar/upstream_executor.h
+++ b/source/sidecar/upstream_executor.h
@@ -21,6 +21,7 @@
 #include "placement/placement.h"
 #include "platform/adapter.h"
 #include "sidecar/event_log.h"
+#include "sidecar/target_identity.h"
 #include "traffic/traffic.h"
 
 namespace damaskledge::sidecar {
@@ -104,7 +105,8 @@
   void farewell(const std::string& instance);
   /// A health check answered for this identity before the first announcement.
   void identified(const std::string& instance);
-  bool announced_once() const { return !instance_.empty(); }
+  /// @return true once an announcement, a health check or a farewell has named the target.
+  bool known() const { return !identity_.instance().empty(); }
 
   /// Runs the call or queues it. The completion comes exactly once unless the call is cancelled,
   /// possibly before this returns.
@@ -164,6 +166,9 @@
   void target_lost(const std::string& why);
   void set_state(target_state state, const std::string& why);
   void check_target();
+  /// @return true if the target runs requests that wait in the queue.
+  bool runs_queued() const;
+  moment now() const { return {loop_.now(), unix_now()}; }
   fleet::answer_frame make_answer(fleet::call_result result, std::string reason,
                                   bool reached) const;
 
@@ -174,11 +179,8 @@
   std::function<void()> state_changed_;
 
   target_state state_ = target_state::unknown;
-  std::string instance_;
-  unix_milliseconds started_ = 0;
-  std::uint64_t sequence_ = 0;
+  target_identity identity_;
   std::uint32_t slots_ = 0;
-  time_point leaving_since_{};
   time_point warm_at_{};
   traffic::target_rate_limit rate_limit_;
   /// Limit that was logged last.
--- a/tests/sidecar/executor_test.cpp
+++ b/tests/sidecar/executor_test.cpp
@@ -473,3 +473,22 @@
   REQUIRE(answered(3));
   CHECK(result(2) == call_result::answered);
 }
+
+TEST_CASE_FIXTURE(executor_fixture,
+                  "A late announcement does not bring back a target known by a health check only") {
+  sidecar::executor_options options;
+  options.target = target.address;
+  options.service = "search";
+  executor = std::make_unique<sidecar::upstream_executor>(loop, options, log, crashes, [] {});
+  executor->identified("i-1");
+  CHECK(executor->status().ready);
+  executor->farewell("i-1");
+  auto late = announcement(4, 10);
+  late.started = unix_now() - 9'000;
+  executor->announced(late);
+  CHECK_FALSE(executor->status().ready);
+  auto restarted = announcement(1, 10);
+  restarted.started = unix_now() + 1'000;
+  executor->announced(restarted);
+  CHECK(executor->status().ready);
+}
