Plan admission from one entry for each class instead of one for each report

Looked for after the estimate of calls: periodic work on the event loop that grows with the number of routes. plan_admission merged the reports of all near nodes itself, and summarise did the same beside it for the speed of the target.

--- a/source/sidecar/agent_exchange.cpp
+++ b/source/sidecar/agent_exchange.cpp
@@ -208,9 +208,10 @@
       add_target(node.status.target);
     }
   }
-  target_->set_slowness(
-      placement::relative_slowness(target_->observer().costs(), traffic::summarise(picture).costs));
-  auto plan = traffic::plan_admission(picture, traffic::admission_options{});
+  // Planned from one entry for each class, since the reports of all nodes name each class again.
+  const traffic::load_picture summary = traffic::summarise(picture);
+  target_->set_slowness(placement::relative_slowness(target_->observer().costs(), summary.costs));
+  auto plan = traffic::plan_admission(summary, traffic::admission_options{});
   log_admission(plan);
   admission_.set_plan(std::move(plan));
 }
