Watch for current data at once when a node becomes a relay

Cause: the two relays of a data centre watch the configuration with current reads, all others with stale ones that last up to 29 s. A node that becomes a relay because both were lost went on waiting in its stale watch. With the data centre cut off from the others, nobody near announces a new version either. Class of fault: a role changes while a long operation of the former role goes on.

Change: at each load interval a relay replaces a stale watch that still waits. One more store call for each node that becomes a relay.

Test: "A configuration is not late when all nodes with a current watch are lost" failed before (not in force after 5 s, bound 2 s).

--- a/source/sidecar/agent_exchange.cpp
+++ b/source/sidecar/agent_exchange.cpp
@@ -260,6 +260,8 @@
   send_crash_report();
   measure("plan_admission", [this] { plan_admission(); });
   forget_lost_nodes();
+  // A node that has become a relay must not go on waiting in a watch that may show changes late.
+  configuration_mirror_->renew_watch();
 }
 
 } // namespace damaskledge::sidecar
--- a/source/sidecar/store_client.cpp
+++ b/source/sidecar/store_client.cpp
@@ -74,6 +74,11 @@
   stream_->send(wire);
 }
 
+void store_channel::cancel() {
+  done_ = nullptr;
+  finish({}, false);
+}
+
 store_answer store_channel::take_answer() {
   auto& message = reader_.message();
   const std::string* instance = message.fields.find(adapter::header::instance);
@@ -154,12 +159,22 @@
 
 void object_mirror::watch() {
   const watch_terms terms = terms_();
+  waiting_watch_ = terms.freshness;
   channel_.call(adapter::watch_objects(kind_, revision_, terms.wait, terms.freshness),
                 terms.wait + watch_margin,
                 [this](const store_answer& answer) { on_changes(answer); });
 }
 
+void object_mirror::renew_watch() {
+  if (waiting_watch_ == adapter::read_freshness::stale &&
+      terms_().freshness == adapter::read_freshness::current) {
+    channel_.cancel();
+    watch();
+  }
+}
+
 void object_mirror::on_changes(const store_answer& answer) {
+  waiting_watch_.reset();
   if (answer.status == 410) {
     log_.state(log_line("store_history_gone")
                    .field("kind", kind_)
--- a/source/sidecar/store_client.h
+++ b/source/sidecar/store_client.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "event/event.h"
@@ -37,6 +38,8 @@
   /// @param timeout the connection is given up after this time.
   void call(http::request value, milliseconds timeout, completion done);
   bool busy() const { return static_cast<bool>(done_); }
+  /// Ends the connection and the call under way, if there is one; its completion does not run.
+  void cancel();
 
  private:
   void open();
@@ -90,6 +93,9 @@
                 adapter::read_freshness list_freshness, std::function<watch_terms()> terms,
                 events callbacks, event_log& log, instruments& counters);
   void start() { list(""); }
+  /// Replaces a watch that accepts stale data by one with the present terms, if these ask for
+  /// current data. Call it when the terms may have changed.
+  void renew_watch();
   bool synchronised() const { return synchronised_; }
 
  private:
@@ -109,6 +115,8 @@
   instruments& counters_;
   backoff backoff_;
   std::uint64_t revision_ = 0;
+  /// Freshness of the watch that waits at the store.
+  std::optional<adapter::read_freshness> waiting_watch_;
   bool synchronised_ = false;
   bool available_ = true;
 };
--- a/tests/sidecar/agent_test.cpp
+++ b/tests/sidecar/agent_test.cpp
@@ -192,6 +192,32 @@
   CHECK(call(0, "GET", "/read/x", "other-key").status == 200);
 }
 
+TEST_CASE_FIXTURE(fleet_fixture,
+                  "A configuration is not late when all nodes with a current watch are lost") {
+  configure();
+  REQUIRE(settle());
+  const auto replace_key = [&](const std::string& version, const std::string& key) {
+    auto next = configuration(version);
+    next["tenants"][0]["api-keys"] = json::array({key});
+    store.put("config", "main", next);
+  };
+  const auto accepted = [&](std::size_t at, const std::string& key) {
+    return call(at, "GET", "/read/x", key).status == 200;
+  };
+  // The nodes watch anew after a change; all but the relays then accept stale data.
+  replace_key("00000002", "second-key");
+  REQUIRE(test::run_until(loop,
+                          [&] { return accepted(2, "second-key") && accepted(3, "second-key"); }));
+  store.stale_watches_late = true;
+  vms[0]->kill();
+  vms[1]->kill();
+  replace_key("00000003", "third-key");
+  const time_point written = loop.refresh_now();
+  CHECK(
+      test::run_until(loop, [&] { return accepted(2, "third-key") && accepted(3, "third-key"); }));
+  CHECK(loop.refresh_now() - written < seconds(2));
+}
+
 TEST_CASE_FIXTURE(fleet_fixture, "A store that forgot its history is listed again") {
   configure("00000001");
   REQUIRE(settle());
--- a/tests/sidecar/store_stand_in.h
+++ b/tests/sidecar/store_stand_in.h
@@ -54,6 +54,8 @@
   bool lose_write_answers = false;
   /// Stale lists show a revision that is older by this much.
   std::uint64_t stale_by = 0;
+  /// Watches that accept stale data hear of nothing.
+  bool stale_watches_late = false;
 
  private:
   struct object {
@@ -69,6 +71,7 @@
     sidecar::request_handle from = 0;
     std::string kind;
     std::uint64_t revision = 0;
+    bool stale = false;
   };
 
   nlohmann::json to_json(const std::string& name, const object& value) const {
@@ -93,7 +96,8 @@
     const std::string path = it.target.substr(9, it.target.find('?') - 9);
     const std::string kind = path.substr(0, path.find('/'));
     if (it.method == "GET" && it.target.find("watch=") != std::string::npos) {
-      const waiting_watch watch{from, kind, parameter(it.target, "watch")};
+      const bool stale = it.target.find("allow-stale=1") != std::string::npos;
+      const waiting_watch watch{from, kind, parameter(it.target, "watch"), stale};
       if (watch.revision + 1 < history_start_) {
         reply(from, 410, nlohmann::json::object());
       } else if (!answer(watch)) {
@@ -134,6 +138,9 @@
     }
   }
   bool answer(const waiting_watch& watch) {
+    if (watch.stale && stale_watches_late) {
+      return false;
+    }
     auto events = nlohmann::json::array();
     for (const auto& it : changes_) {
       if (it.revision > watch.revision && it.kind == watch.kind) {
