Send a target few requests until its first answer after a node's restart

Second fault under the limit that a target names (LIMIT): the node beside the target is restarted and does not know the limit that other nodes have passed on. Until the first answer it filled all slots at once.

Change: four requests are under way at most before the first answer since the node's start; the rest waits in the queue, for the time of one answer. The slots told to other nodes stay whole, so that entries do not plan with less.

--- a/source/sidecar/upstream_executor.cpp
+++ b/source/sidecar/upstream_executor.cpp
@@ -137,7 +137,9 @@
 }
 
 bool upstream_executor::may_start() {
-  return running_.size() < limit() && rate_limit_.may_send(loop_.now());
+  const std::size_t allowed =
+      answered_ ? limit() : std::min(limit(), options_.requests_before_answer);
+  return running_.size() < allowed && rate_limit_.may_send(loop_.now());
 }
 
 fleet::target_status upstream_executor::status() const {
@@ -382,6 +384,7 @@
   if (from.instance != identity_.instance()) {
     return;
   }
+  answered_ = true;
   if (notice.malformed_limit) {
     log_.request(log_line("target_limit_malformed")
                      .field("instance", identity_.instance())
--- a/source/sidecar/upstream_executor.h
+++ b/source/sidecar/upstream_executor.h
@@ -47,6 +47,9 @@
   double slot_use = 0.95;
   /// Slots assumed before the target has announced itself.
   std::uint32_t default_slots = 8;
+  /// Requests under way at once before the first answer: a node that was restarted does not know
+  /// whether the target has named a limit to the other nodes.
+  std::size_t requests_before_answer = 4;
   /// A target on the same VM accepts within this time unless it is dead.
   milliseconds connect_timeout{250};
   /// No answer at all for this long, with requests under way, starts a check of the target.
@@ -182,6 +185,8 @@
   target_identity identity_;
   std::uint32_t slots_ = 0;
   time_point warm_at_{};
+  /// The target has answered since this node's start.
+  bool answered_ = false;
   traffic::target_rate_limit rate_limit_;
   /// Limit that was logged last.
   std::optional<double> logged_limit_;
--- a/tests/sidecar/executor_test.cpp
+++ b/tests/sidecar/executor_test.cpp
@@ -492,3 +492,28 @@
   executor->announced(restarted);
   CHECK(executor->status().ready);
 }
+
+TEST_CASE_FIXTURE(executor_fixture,
+                  "A restarted node does not overrun a target whose limit it does not know yet") {
+  std::vector<std::pair<sidecar::request_handle, std::string>> held;
+  target.on_request = [&](sidecar::request_handle from, const http::request& it) {
+    held.emplace_back(from, *it.fields.find("X-Request-Id"));
+  };
+  executor->announced(announcement(2, 100));
+  for (int i = 0; i < 50; ++i) {
+    submit(call(std::to_string(i)));
+  }
+  REQUIRE(test::run_until(loop, [&] { return !held.empty(); }));
+  for (int i = 0; i < 10; ++i) {
+    loop.run_once(milliseconds(5));
+  }
+  // In 4 s a target with a limit of 1 a second takes 11 requests; 4 more follow by the limit.
+  CHECK(held.size() <= 7);
+  for (const auto& [from, id] : std::exchange(held, {})) {
+    target.respond(from, test::answer_head(id), "whole");
+  }
+  CHECK(test::run_until(loop, [&] {
+    executor->tick();
+    return held.size() > 40;
+  }));
+}
