Let targets of the soak name limits and say in their answers that they leave

Two promises more are checked while other faults go on: a target that names a limit gets no more than one and a half times of it and five requests in 4 s, and one that has said in an answer that it leaves gets nothing after the drain limit. Limits are drawn apart from the other faults, so that earlier seeds keep their schedules.

--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -28,6 +28,9 @@
 constexpr milliseconds surge_pause{10};
 /// Mean pause between two faults; they overlap.
 constexpr milliseconds fault_pause{700};
+/// Mean pause between two limits, and how long each is named: over before the judged end begins.
+constexpr milliseconds limit_pause{2'000};
+constexpr milliseconds limit_length{5'500};
 
 std::string account_name(std::size_t i) {
   return "account-" + std::to_string(i);
@@ -74,12 +77,12 @@
 
 soak_run::soak_run(soak_options options)
     : options_(std::move(options)), start_(loop_.now()), random_(options_.seed),
-      seen_(start_), all_{loop_,
-                          seen_,
-                          random_,
-                          options_.folder,
-                          options_.first_port,
-                          {"127.0.0.1", options_.first_port}},
+      limit_random_(options_.seed), seen_(start_), all_{loop_,
+                                                        seen_,
+                                                        random_,
+                                                        options_.folder,
+                                                        options_.first_port,
+                                                        {"127.0.0.1", options_.first_port}},
       store_(loop_, all_.store) {
   for (std::size_t i = 0; i < accounts; ++i) {
     keys_.push_back("key-" + std::to_string(++keys_made_));
@@ -295,6 +298,21 @@
   });
 }
 
+void soak_run::plan_limits() {
+  std::uniform_int_distribution<std::int64_t> pause(limit_pause.count() / 2,
+                                                    limit_pause.count() * 2);
+  loop_.after(milliseconds(pause(limit_random_)), [this] {
+    if (loop_.now() - start_ < options_.length - cool_down) {
+      vm& at = *vms_[limit_random_() % vms_.size()];
+      const double limit = std::uniform_real_distribution<double>(1, 12)(limit_random_);
+      note("the target of vm" + std::to_string(at.number()) + " takes " + std::to_string(limit) +
+           " requests a second");
+      at.limit_target(limit, limit_length);
+      plan_limits();
+    }
+  });
+}
+
 soak_report soak_run::run() {
   loop_.after(warm_up, [this] {
     for (std::size_t i = 0; i < vms_.size() * callers_per_vm; ++i) {
@@ -305,6 +323,7 @@
       callers_.back()->set_key(keys_[i / vms_.size() % accounts]);
     }
     plan_faults();
+    plan_limits();
   });
   loop_.after(options_.length, [this] {
     for (auto& it : callers_) {
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -65,6 +65,8 @@
   void disturb_store();
   void change_keys();
   void surge();
+  /// Lets targets name limits, one after the other.
+  void plan_limits();
   vm& any_vm() { return *vms_[random_() % vms_.size()]; }
   milliseconds between(int low, int high);
   /// @return mean pause of a caller between an answer and its next request.
@@ -75,6 +77,8 @@
   event::loop loop_;
   time_point start_;
   std::mt19937_64 random_;
+  /// Apart from `random_`, so that the other faults of earlier seeds stay as they were.
+  std::mt19937_64 limit_random_;
   history seen_;
   surroundings all_;
   test::store_stand_in store_;
--- a/tests/soak/vm.cpp
+++ b/tests/soak/vm.cpp
@@ -17,6 +17,10 @@
 constexpr milliseconds restart_pause{300};
 /// Mean time for which a run holds a slot.
 constexpr double run_ms = 15;
+/// What a target that names a limit takes at most in one window (the users' bound).
+constexpr milliseconds limit_window{4'000};
+constexpr double limit_factor = 1.5;
+constexpr double limit_slack = 5;
 
 std::string text_of(const endpoint& value) {
   return to_string(value);
@@ -165,6 +169,8 @@
   sequence_ = 0;
   leaving_ = false;
   leaving_acknowledged_.reset();
+  leaving_answered_.reset();
+  limit_.reset();
   running_.clear();
   target_ = std::make_unique<sidecar::http_service>(
       all_.loop,
@@ -195,6 +201,36 @@
   }
 }
 
+void vm::limit_target(double requests_per_s, milliseconds length) {
+  limit_ = requests_per_s;
+  limit_named_.reset();
+  arrivals_.clear();
+  all_.loop.after(length, [this, instance = instance_] {
+    if (instance == instance_) {
+      limit_.reset();
+    }
+  });
+}
+
+void vm::check_limit() {
+  const time_point now = all_.loop.now();
+  if (!limit_ || !limit_named_ || now - *limit_named_ < stable_window) {
+    return;
+  }
+  arrivals_.push_back(now);
+  while (now - arrivals_.front() > limit_window) {
+    arrivals_.pop_front();
+  }
+  const double allowed =
+      *limit_ * limit_factor * std::chrono::duration<double>(limit_window).count() + limit_slack;
+  if (static_cast<double>(arrivals_.size()) > allowed) {
+    all_.seen.violated(now, "limits of targets",
+                       std::to_string(arrivals_.size()) + " requests reached " + instance_ +
+                           " in 4 s, which takes " + std::to_string(*limit_) + " a second");
+    arrivals_.clear();
+  }
+}
+
 void vm::announce() {
   all_.loop.after(announce_interval, [this] { announce(); });
   if (!target_ || (announcer_ && announcer_->busy())) {
@@ -230,10 +266,17 @@
   if (!target_ || running_.erase(to) == 0) {
     return;
   }
-  target_->respond(to,
-                   "HTTP/1.1 " + std::to_string(status) + " X\r\nX-Request-Id: " + id +
-                       "\r\nX-Response-Stamp: stamp-" + id + "\r\n",
-                   "body of " + id);
+  std::string head = "HTTP/1.1 " + std::to_string(status) + " X\r\nX-Request-Id: " + id +
+                     "\r\nX-Response-Stamp: stamp-" + id + "\r\n";
+  if (limit_) {
+    limit_named_ = limit_named_.value_or(all_.loop.now());
+    head += "Server-Limit: " + std::to_string(*limit_) + "\r\n";
+  }
+  if (leaving_) {
+    leaving_answered_ = leaving_answered_.value_or(all_.loop.now());
+    head += "Server-Leaving: 1\r\n";
+  }
+  target_->respond(to, head, "body of " + id);
 }
 
 void vm::on_request(sidecar::request_handle from, http::request& it) {
@@ -251,6 +294,7 @@
                      "");
     return;
   }
+  check_limit();
   const std::string id = field("X-Request-Id");
   const std::string expected = field("X-Expect-Instance");
   const bool another = !expected.empty() && expected != instance_;
@@ -261,7 +305,10 @@
                      "");
     return;
   }
-  if (leaving_acknowledged_ && all_.loop.now() - *leaving_acknowledged_ > drain_limit) {
+  const auto told = [&](const std::optional<time_point>& at) {
+    return at && all_.loop.now() - *at > drain_limit;
+  };
+  if (told(leaving_acknowledged_) || told(leaving_answered_)) {
     all_.seen.violated(all_.loop.now(), "leaving targets",
                        id + " reached " + instance_ + " after its drain limit");
   }
--- a/tests/soak/vm.h
+++ b/tests/soak/vm.h
@@ -3,6 +3,7 @@
 /// the node's ways to the other nodes and to the store.
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -60,6 +61,8 @@
   // Faults of the target.
   void crash_target(milliseconds down);
   void replace_target();
+  /// The target names in its answers how many requests a second it takes.
+  void limit_target(double requests_per_s, milliseconds length);
 
   /// Something unplanned happened to this VM or its links.
   void disturbed(milliseconds length = milliseconds(0));
@@ -79,6 +82,8 @@
   void run(sidecar::request_handle from, const std::string& id, bool calls);
   void call_below(sidecar::request_handle from, const std::string& id);
   void answer(sidecar::request_handle to, const std::string& id, int status);
+  /// Counts a request that has reached the target against the limit that it names.
+  void check_limit();
 
   surroundings& all_;
   std::size_t number_;
@@ -97,6 +102,12 @@
   std::uint64_t sequence_ = 0;
   bool leaving_ = false;
   std::optional<time_point> leaving_acknowledged_;
+  /// When an answer has said first that the target leaves.
+  std::optional<time_point> leaving_answered_;
+  std::optional<double> limit_;
+  /// When the limit was in an answer first.
+  std::optional<time_point> limit_named_;
+  std::deque<time_point> arrivals_;
   /// Requests under way at the target, and the connections that carry them.
   std::set<sidecar::request_handle> running_;
   std::unique_ptr<sidecar::store_channel> announcer_;
