--- a/tests/fuzz/platform_bodies.cpp
+++ b/tests/fuzz/platform_bodies.cpp
@@ -1,4 +1,5 @@
-// Bodies of the users' platform: configurations, announcements of targets, objects of the store.
+// Bodies and fields of the users' platform: configurations, announcements of targets, limits in
+// their answers, objects of the store.
 #include "fuzz/fuzz.h"
 #include "platform/adapter.h"
 
@@ -21,6 +22,14 @@
   if (const auto target = adapter::parse_announcement("i", input)) {
     fuzz::require(target->address.port != 0, "a target has an address");
   }
+  http::header_fields answer;
+  answer.add(std::string(adapter::header::request_limit), input);
+  const auto notice = adapter::read_notice(answer);
+  fuzz::require(notice.requests_per_s.has_value() != notice.malformed_limit,
+                "a limit is a number or malformed");
+  fuzz::require(!notice.requests_per_s ||
+                    (*notice.requests_per_s >= 0 && *notice.requests_per_s < 1e308),
+                "a limit is a number of requests");
   (void)adapter::parse_page(input);
   (void)adapter::parse_changes(input);
   (void)adapter::match_announcement("POST", input);
