Measure the parts of a round without moving the loop's time

Found when the diff was read: measure read the clock through refresh_now, which moves the time of the round, so timers armed in a slow round could run in the same round, before events of sockets.

--- a/source/event/event.h
+++ b/source/event/event.h
@@ -46,6 +46,9 @@
   time_point now() const { return now_; }
   /// Reads the clock anew.
   time_point refresh_now();
+  /// @return the time now, to measure how long work of the current round takes. `now` stays as it
+  /// is, so that timers armed in this round do not run in it.
+  static time_point read_clock();
 
   /// Calls `task` once after `delay`.
   timer_id after(duration delay, std::function<void()> task);
--- a/source/event/loop.cpp
+++ b/source/event/loop.cpp
@@ -18,14 +18,6 @@
 /// The loop wakes at least this often, so that a stop request is seen.
 constexpr milliseconds max_wait{1'000};
 
-/// CLOCK_BOOTTIME goes on while a VM is suspended, so deadlines and knowledge are found old on
-/// waking; the steady clock of the standard library does not count that time.
-time_point read_clock() {
-  timespec value{};
-  ::clock_gettime(CLOCK_BOOTTIME, &value);
-  return time_point(std::chrono::seconds(value.tv_sec) + std::chrono::nanoseconds(value.tv_nsec));
-}
-
 } // namespace
 
 loop::loop() : epoll_(::epoll_create1(EPOLL_CLOEXEC)), now_(read_clock()) {}
@@ -36,6 +28,14 @@
   }
 }
 
+time_point loop::read_clock() {
+  // CLOCK_BOOTTIME goes on while a VM is suspended, so deadlines and knowledge are found old on
+  // waking; the steady clock of the standard library does not count that time.
+  timespec value{};
+  ::clock_gettime(CLOCK_BOOTTIME, &value);
+  return time_point(std::chrono::seconds(value.tv_sec) + std::chrono::nanoseconds(value.tv_nsec));
+}
+
 time_point loop::refresh_now() {
   now_ = read_clock();
   return now_;
--- a/source/sidecar/agent.cpp
+++ b/source/sidecar/agent.cpp
@@ -435,9 +435,9 @@
 }
 
 void agent::measure(std::string_view part, const std::function<void()>& work) {
-  const time_point began = loop_.refresh_now();
+  const time_point began = event::loop::read_clock();
   work();
-  const duration taken = loop_.refresh_now() - began;
+  const duration taken = event::loop::read_clock() - began;
   if (longest_part_.round != loop_.round() || taken > longest_part_.taken) {
     longest_part_ = {part, taken, loop_.round()};
   }
