Keep a limit that was learned before a target's first announcement

The first announcement, up to a heartbeat later, was taken for another start and the limit forgotten, with all slots free until the next answer.

Change: the first announcement of a target that is known without its start, and has not left, is one of the same start.

Test: "A restarted node keeps a limit that it learned before the first announcement" failed before (51 requests in 0.1 s, 9 allowed).

--- a/source/sidecar/target_identity.cpp
+++ b/source/sidecar/target_identity.cpp
@@ -16,7 +16,7 @@
   } else {
     // The target is known by a health check or by its leaving. An announcement of a start from
     // before the leave may have been under way since then, so it does not bring the target back.
-    same_start = same_instance && leaving() && began_before_leaving(now, value.started);
+    same_start = same_instance && (!leaving() || began_before_leaving(now, value.started));
   }
   instance_ = value.instance;
   start_ = {value.started, value.sequence};
--- a/source/sidecar/target_identity.h
+++ b/source/sidecar/target_identity.h
@@ -24,7 +24,8 @@
   enum class change : std::uint8_t {
     /// Nothing: it is older than what is known.
     none,
-    /// A later announcement of the start that is known.
+    /// A later announcement of the start that is known, or the first one of a target that was known
+    /// without its start.
     same_start,
     /// Another start, or another target.
     other_start,
--- a/source/sidecar/upstream_executor.cpp
+++ b/source/sidecar/upstream_executor.cpp
@@ -103,6 +103,7 @@
   }
   if (change == target_identity::change::other_start) {
     rate_limit_.reset();
+    log_limit();
   }
   if (value.instance != before) {
     for (const std::uint64_t it : std::vector<std::uint64_t>(idle_)) {
--- a/tests/sidecar/executor_test.cpp
+++ b/tests/sidecar/executor_test.cpp
@@ -517,3 +517,28 @@
     return held.size() > 40;
   }));
 }
+
+TEST_CASE_FIXTURE(executor_fixture,
+                  "A restarted node keeps a limit that it learned before the first announcement") {
+  target.on_request = [&](sidecar::request_handle from, const http::request& it) {
+    target.respond(
+        from, test::answer_head(*it.fields.find("X-Request-Id")) + "Server-Limit: 20\r\n", "x");
+  };
+  sidecar::executor_options options;
+  options.target = target.address;
+  options.service = "search";
+  executor = std::make_unique<sidecar::upstream_executor>(loop, options, log, crashes, [] {});
+  executor->identified("i-1");
+  submit(call("first"));
+  REQUIRE(answered(1));
+  executor->announced(announcement(4, 100));
+  for (int i = 0; i < 50; ++i) {
+    submit(call(std::to_string(i)));
+  }
+  const auto end = loop.refresh_now() + milliseconds(100);
+  while (loop.now() < end) {
+    executor->tick();
+    loop.run_once(milliseconds(5));
+  }
+  CHECK(target.requests.size() <= 1 + 20 * 0.1 * 1.5 + 5);
+}
--- a/tests/sidecar/target_identity_test.cpp
+++ b/tests/sidecar/target_identity_test.cpp
@@ -185,6 +185,15 @@
   }
 }
 
+TEST_CASE("The first announcement after a health check is not taken for another start") {
+  history told;
+  told.identity.identified("i-1");
+  CHECK(told.announce(0, -9'000, 3) == target_identity::change::same_start);
+  CHECK(told.usable());
+  told.leave(100);
+  CHECK(told.announce(3'000, 2'900, 1) == target_identity::change::other_start);
+}
+
 TEST_CASE("An announcement that is older than what is known changes nothing") {
   history told;
   told.announce(0, -9'000, 9);
