--- a/source/sidecar/upstream_executor.cpp
+++ b/source/sidecar/upstream_executor.cpp
@@ -131,15 +131,16 @@
   }
 }
 
-std::size_t upstream_executor::limit() const {
+std::size_t upstream_executor::concurrency_limit() const {
   const std::uint32_t slots = slots_ == 0 ? options_.default_slots : slots_;
   const double part = loop_.now() < warm_at_ ? warming_slot_use : options_.slot_use;
   return std::max<std::size_t>(1, static_cast<std::size_t>(part * slots));
 }
 
 bool upstream_executor::may_start() {
-  const std::size_t allowed =
-      answered_ ? limit() : std::min(limit(), options_.requests_before_answer);
+  const std::size_t allowed = answered_
+                                  ? concurrency_limit()
+                                  : std::min(concurrency_limit(), options_.requests_before_answer);
   return running_.size() < allowed && rate_limit_.may_send(loop_.now());
 }
 
@@ -148,7 +149,8 @@
   result.service = options_.service;
   result.instance = identity_.instance();
   result.ready = state_ == target_state::ready;
-  result.slots = static_cast<std::uint32_t>(rate_limit_.usable_slots(limit(), mean_held_s_));
+  result.slots =
+      static_cast<std::uint32_t>(rate_limit_.usable_slots(concurrency_limit(), mean_held_s_));
   result.in_flight = static_cast<std::uint32_t>(running_.size());
   result.queued = static_cast<std::uint32_t>(queue_.size());
   result.slowness = static_cast<float>(slowness_ * failures_.penalty());
@@ -179,7 +181,7 @@
   const auto ahead =
       static_cast<std::size_t>(std::distance(queue_.begin(), queue_.lower_bound(before)) + 1);
   const auto for_slot = std::chrono::duration_cast<duration>(std::chrono::duration<double>(
-      static_cast<double>(ahead) * mean_held_s_ / static_cast<double>(limit())));
+      static_cast<double>(ahead) * mean_held_s_ / static_cast<double>(concurrency_limit())));
   return std::max(for_slot, rate_limit_.expected_wait(ahead));
 }
 
--- a/source/sidecar/upstream_executor.h
+++ b/source/sidecar/upstream_executor.h
@@ -144,7 +144,8 @@
   /// Calls of targets first, since work was spent on them; then by priority and arrival.
   using queue_key = std::tuple<bool, unsigned, std::uint64_t>;
 
-  std::size_t limit() const;
+  /// @return requests that the target may run at once.
+  std::size_t concurrency_limit() const;
   /// @return true if the target may get a further request now.
   bool may_start();
   duration expected_wait(const queue_key& before) const;
