Bound the wait for a target's first answer after a node's restart

Found when the diff was read: with runs of several seconds, four requests under way would have been all that a restarted node sends for as long as the first of them runs. After 1 s without an answer all slots are used.

Test: "A target whose runs take long is not held to a few requests for as long" failed before.

A target that names a limit and answers later than 1 s after its node's restart may get more than the limit once; no answer has named it to that node then.

--- a/source/sidecar/upstream_executor.cpp
+++ b/source/sidecar/upstream_executor.cpp
@@ -138,9 +138,11 @@
 }
 
 bool upstream_executor::may_start() {
-  const std::size_t allowed = answered_
-                                  ? concurrency_limit()
-                                  : std::min(concurrency_limit(), options_.requests_before_answer);
+  const bool await_answer =
+      !answered_ && (!first_sent_ || loop_.now() - *first_sent_ < options_.first_answer_wait);
+  const std::size_t allowed = await_answer
+                                  ? std::min(concurrency_limit(), options_.requests_before_answer)
+                                  : concurrency_limit();
   return running_.size() < allowed && rate_limit_.may_send(loop_.now());
 }
 
@@ -289,6 +291,7 @@
   wire += "\r\n";
   wire += call.call.body;
   rate_limit_.sent(loop_.now());
+  first_sent_ = first_sent_.value_or(loop_.now());
   running_.emplace(call.id, to.id);
   if (running_.size() == 1) {
     last_sign_of_life_ = loop_.now();
--- a/source/sidecar/upstream_executor.h
+++ b/source/sidecar/upstream_executor.h
@@ -50,6 +50,8 @@
   /// Requests under way at once before the first answer: a node that was restarted does not know
   /// whether the target has named a limit to the other nodes.
   std::size_t requests_before_answer = 4;
+  /// The first answer is waited for no longer than this, for targets whose runs take long.
+  milliseconds first_answer_wait{1'000};
   /// A target on the same VM accepts within this time unless it is dead.
   milliseconds connect_timeout{250};
   /// No answer at all for this long, with requests under way, starts a check of the target.
@@ -188,6 +190,8 @@
   time_point warm_at_{};
   /// The target has answered since this node's start.
   bool answered_ = false;
+  /// When this node has sent its first request to the target.
+  std::optional<time_point> first_sent_;
   traffic::target_rate_limit rate_limit_;
   /// Limit that was logged last.
   std::optional<double> logged_limit_;
--- a/tests/sidecar/executor_test.cpp
+++ b/tests/sidecar/executor_test.cpp
@@ -542,3 +542,19 @@
   }
   CHECK(target.requests.size() <= 1 + 20 * 0.1 * 1.5 + 5);
 }
+
+TEST_CASE_FIXTURE(executor_fixture,
+                  "A target whose runs take long is not held to a few requests for as long") {
+  target.on_request = [](sidecar::request_handle, const http::request&) {};
+  executor->announced(announcement(2, 100));
+  for (int i = 0; i < 50; ++i) {
+    auto value = call(std::to_string(i));
+    value.deadline = loop.now() + seconds(10);
+    value.objective = seconds(10);
+    submit(std::move(value));
+  }
+  CHECK(test::run_until(loop, [&] {
+    executor->tick();
+    return target.requests.size() == 50;
+  }));
+}
