--- a/tests/placement/limited_target_test.cpp
+++ b/tests/placement/limited_target_test.cpp
@@ -20,6 +20,7 @@
 constexpr int report_every_ms = 250;
 constexpr int warm_up_ms = 2'000;
 constexpr int length_ms = 20'000;
+constexpr double judged_s = (length_ms - warm_up_ms) * 0.001;
 
 struct limited_outcome {
   int asked = 0;
@@ -120,12 +121,12 @@
     CAPTURE(per_s);
     const limited_outcome it = play(per_s);
     CHECK(it.served >= it.asked * 0.98);
-    CHECK(it.at_limited <= 40 * (length_ms - warm_up_ms) / 1'000 * 1.05);
+    CHECK(it.at_limited <= 40 * judged_s * 1.05);
   }
 }
 
 TEST_CASE("What a limited target takes is used when the others are full") {
   const limited_outcome it = play(1'200);
-  CHECK(it.at_limited >= 40 * (length_ms - warm_up_ms) / 1'000 * 0.9);
-  CHECK(it.served >= 840 * (length_ms - warm_up_ms) / 1'000 * 0.9);
+  CHECK(it.at_limited >= 40 * judged_s * 0.9);
+  CHECK(it.served >= 840 * judged_s * 0.9);
 }
