--- a/source/sidecar/target_identity.h
+++ b/source/sidecar/target_identity.h
@@ -1,6 +1,6 @@
 /// @file
-/// Which target is beside the node, which start of it, and whether it leaves: the order of what the
-/// node is told by announcements, health checks and answers that may be late.
+/// Which target is beside the node, which start of it, and whether it leaves. Orders announcements,
+/// health checks, farewells and marks in answers, which may arrive late.
 #pragma once
 
 #include <cstdint>
--- a/source/traffic/traffic.h
+++ b/source/traffic/traffic.h
@@ -351,8 +351,8 @@
 /// without a significant contribution are left out, so that a route that happens to run at the same
 /// time is not taken for a cause.
 ///
-/// The work does not grow with the number of routes: only the busiest ones are told apart as
-/// parents, the others are regressed as one. Routes that no longer run are forgotten.
+/// The work does not grow with the number of routes: only the busiest ones are parents of their
+/// own, the others are regressed as one. Routes that no longer run are forgotten.
 class call_observer {
  public:
   /// A run begins or ends at the target, however it ends.
@@ -370,7 +370,7 @@
 
  private:
   static constexpr std::size_t max_parents = 12;
-  /// Column of the routes that are not told apart.
+  /// Column of the routes that are regressed as one.
   static constexpr std::size_t pooled = max_parents;
   /// One number for each parent, and one for the pooled routes.
   using columns = std::array<double, max_parents + 1>;
--- a/tests/sidecar/target_identity_test.cpp
+++ b/tests/sidecar/target_identity_test.cpp
@@ -12,7 +12,7 @@
 
 constexpr unix_milliseconds wall_zero = 1'700'000'000'000;
 
-/// An identity that is told things at given times. Starts are named by the time at which they
+/// An identity that gets events at given times. Starts are named by the time at which they
 /// began.
 struct history {
   sidecar::moment at(int ms) const {
