Wait in failure tests until coordinators accrue tokens

Callers saw: failure_keys_test got 429 rate-exceeded for the first request of an account far below its rate.

Cause: a coordinator whose term has no settled predecessor accrues no tokens for its first 600 ms (docs/design.md, 2.2), and calls without a token are refused after 40 ms. The tests took the fleet as settled as soon as every data centre had a coordinator. That usually took longer than 600 ms, but not always: in the traced failure the coordinator of dc1 started at 38.034 s, and the two requests refused had waited from 38.570 and 38.611 s. Everything from 38.634 s on was answered. Ruled out: a lost datagram and a stall of the node, as neither ends at 600 ms.

Change: the status of a node says whether tokens accrue there, and fleet::settled waits for it. The decision itself is the same; its limit in time has a name now.

--- a/source/core/status.cpp
+++ b/source/core/status.cpp
@@ -162,6 +162,7 @@
       {"node", settings_.name},
       {"data_centre", settings_.data_centre},
       {"coordinates", election_.current_part(now) != coordination::part::follower},
+      {"tokens_accrue", allocator_.accrues(now)},
       {"platform_reachable", election_.platform_reachable()},
       {"documents", nlohmann::json::object()},
       {"coordinators", nlohmann::json::object()}};
--- a/source/shares/allocator.cpp
+++ b/source/shares/allocator.cpp
@@ -117,19 +117,25 @@
   return std::max(value.burst * options_.ceiling_fraction, std::min(1.0, value.burst));
 }
 
+/// Time from which the tokens of previous terms no longer fill the whole burst.
+time_point allocator::accrual_start() const {
+  // The previous coordinator may have transferred tokens to another data centre just before its
+  // term ended. If it had not settled, unexpired grants of two earlier terms may exist, which
+  // together can reach the whole burst.
+  const milliseconds longest_ttl = previous_settled_ ? options_.transfer_ttl : options_.grant_ttl;
+  return term_started_at_ + longest_ttl + options_.clock_margin;
+}
+
+bool allocator::accrues(time_point now) const {
+  return active_ && now >= accrual_start();
+}
+
 /// Upper bound of the tokens of previous terms that may still be spent.
 double allocator::previous_term_tokens(const account_state& state, time_point now) const {
   if (!active_ || now >= term_started_at_ + options_.grant_ttl + options_.clock_margin) {
     return 0;
   }
-  // The previous coordinator may have transferred tokens to another data centre just before its
-  // term ended. If it had not settled, unexpired grants of two earlier terms may exist, which
-  // together can reach the whole burst.
-  if (!previous_settled_ ||
-      now < term_started_at_ + options_.transfer_ttl + options_.clock_margin) {
-    return state.highest.burst;
-  }
-  return ceiling(state.highest);
+  return now < accrual_start() ? state.highest.burst : ceiling(state.highest);
 }
 
 /// Tokens that may be added without exceeding the burst. Negative after a limit was lowered, until
--- a/source/shares/shares.h
+++ b/source/shares/shares.h
@@ -81,6 +81,9 @@
   /// Handles token requests, transfer requests, transfer grants and transfer receipts.
   std::vector<wire::outgoing> receive(time_point now, const wire::incoming& message);
 
+  /// @return true when tokens accrue: in a term, after those that an earlier term may have granted
+  /// have expired or leave room in the burst.
+  bool accrues(time_point now) const;
   /// Tokens that could still be spent under this allocator or its previous term: available,
   /// outstanding and recently transferred. For checks and metrics.
   double exposure(const std::string& account, time_point now) const;
@@ -169,6 +172,7 @@
   std::vector<donor> donors_;
   std::map<std::string, account_state> accounts_;
 
+  time_point accrual_start() const;
   double ceiling(const limit& value) const;
   double previous_term_tokens(const account_state& state, time_point now) const;
   double headroom(const account_state& state, time_point now) const;
--- a/tests/failure/fleet.cpp
+++ b/tests/failure/fleet.cpp
@@ -202,7 +202,9 @@
     });
     const auto up = std::count_if(status["members"].begin(), status["members"].end(),
                                   [](const auto& member) { return member["state"] == "up"; });
-    return up == running && static_cast<std::ptrdiff_t>(targets.size()) == serving &&
+    // Until its tokens accrue, a new coordinator's data centre refuses calls within the rate.
+    return status["tokens_accrue"] == status["coordinates"] && up == running &&
+           static_cast<std::ptrdiff_t>(targets.size()) == serving &&
            status["documents"].value("lists", 0) == version_of("lists") &&
            status["documents"].value("keys", 0) == version_of("keys") &&
            status["coordinators"].size() == plan_.data_centres.size();
--- a/tests/shares/allocator_test.cpp
+++ b/tests/shares/allocator_test.cpp
@@ -71,6 +71,19 @@
   CHECK(granted(under_test.tick(at(615))) == 1);
 }
 
+TEST_CASE_FIXTURE(fixture, "A new term is not reported as accruing while tokens of an earlier "
+                           "one may fill the burst") {
+  CHECK_FALSE(under_test.accrues(at(0)));
+  start(true);
+  CHECK_FALSE(under_test.accrues(at(199)));
+  CHECK(under_test.accrues(at(200)));
+  start(false);
+  CHECK_FALSE(under_test.accrues(at(599)));
+  CHECK(under_test.accrues(at(600)));
+  under_test.end_term();
+  CHECK_FALSE(under_test.accrues(at(700)));
+}
+
 TEST_CASE_FIXTURE(fixture,
                   "A report of tokens that have ended by time does not free later grants") {
   start(true);
