End the pauses of simulated processes with the faults

Cause: an error of the check. When the faults end, paused processes go on, but events that had been put off during the pause kept its first end. The requests of the pause, the ticks and the answers of that process came together up to 15 s later, and all these requests were judged. Ruled out: a lack of tokens, of which the account had 45 left.

Change: events put off are kept with their process and run when the faults end. No bound is changed.

--- a/source/check/simulation.cpp
+++ b/source/check/simulation.cpp
@@ -92,16 +92,26 @@
 
 void simulation::run_when_awake(std::size_t which, std::uint64_t generation,
                                 const std::function<void()>& action) {
-  const process& it = processes_[which];
+  process& it = processes_[which];
   if (it.generation != generation) {
     return;
   }
-  if (it.paused_until > now_) {
-    after(it.paused_until - now_ + between(duration{0}, milliseconds(2)),
-          [this, which, generation, action] { run_when_awake(which, generation, action); });
+  if (it.paused_until <= now_) {
+    action();
     return;
   }
-  action();
+  const duration delay = between(duration{0}, milliseconds(2));
+  const std::uint64_t number = ++last_deferred_;
+  it.deferred[number] = {
+      delay, [this, which, generation, action] { run_when_awake(which, generation, action); }};
+  after(it.paused_until - now_ + delay, [this, which, number] { run_deferred(which, number); });
+}
+
+void simulation::run_deferred(std::size_t which, std::uint64_t number) {
+  process& it = processes_[which];
+  if (const auto event = it.deferred.extract(number)) {
+    event.mapped().action();
+  }
 }
 
 time_point simulation::local_now(const process& it) const {
@@ -716,8 +726,12 @@
   cut_from_platform_.clear();
   platform_.outage = platform_.slow = platform_.loses_answers = platform_.stale_reads = false;
   bad_network_ = false;
-  for (process& it : processes_) {
+  for (std::size_t which = 0; which < processes_.size(); ++which) {
+    process& it = processes_[which];
     it.paused_until = std::min(it.paused_until, now_);
+    for (const auto& [number, event] : it.deferred) {
+      after(event.delay, [this, which, number = number] { run_deferred(which, number); });
+    }
   }
 }
 
--- a/source/check/simulation.h
+++ b/source/check/simulation.h
@@ -41,6 +41,11 @@
     std::string account;
     bool inside = false;
   };
+  /// An event of a paused process, which runs this long after the end of the pause.
+  struct deferred_event {
+    duration delay{0};
+    std::function<void()> action;
+  };
   /// One VM; `generation` rises with each restart of its process.
   struct process {
     config::node_settings settings;
@@ -51,6 +56,8 @@
     double drift = 0;
     duration offset{0};
     true_time paused_until{0};
+    /// By number.
+    std::map<std::uint64_t, deferred_event> deferred;
     /// Documents with a call in flight.
     std::set<std::string> following;
     std::shared_ptr<const core::rules_in_force> rules;
@@ -92,6 +99,8 @@
   void at_process(std::size_t which, duration delay, std::function<void()> action);
   void run_when_awake(std::size_t which, std::uint64_t generation,
                       const std::function<void()>& action);
+  /// Runs a deferred event, unless it has run.
+  void run_deferred(std::size_t which, std::uint64_t number);
   time_point local_now(const process& it) const;
   unix_milliseconds wall_now() const;
   double seconds_now() const { return std::chrono::duration<double>(now_).count(); }
@@ -162,6 +171,7 @@
   bool healed_ = false;
   true_time healed_at_{0};
   std::uint64_t last_request_ = 0;
+  std::uint64_t last_deferred_ = 0;
 
   std::vector<config::account> accounts_;
   std::map<std::string, shares::limit> limits_;
--- a/tests/check/oracle_test.cpp
+++ b/tests/check/oracle_test.cpp
@@ -46,5 +46,18 @@
   CHECK(first.operations_run > 0);
 }
 
+TEST_CASE("A pause that outlasts the faults ends with them for what already waits, too") {
+  // Guards against requests that a process refuses at once, long after the faults, as it wakes.
+  options wanted;
+  wanted.seed = 1;
+  wanted.steps = 300'000;
+  const fault pause{fault_kind::pause, milliseconds(76'000), milliseconds(20'000), 1};
+  const result it = run(wanted, {pause});
+  INFO(it.simulated.count(), " ms, refused ", it.judged_refusals, " of ", it.judged_requests);
+  REQUIRE(it.simulated > pause.at + pause.lasts);
+  REQUIRE(it.judged_requests > 1'000);
+  CHECK_FALSE(it.failed);
+}
+
 } // namespace
 } // namespace damaskledge::check
