Print what nodes lack when a fleet of the failure tests does not settle

Cause: failure_at_most_once_test failed once with a fleet that had not settled after 30 s, and nothing told which node lacked what.

Change: fleet::settled prints the status and targets of the nodes that have not settled when its limit has passed. What it waits for is unchanged.

--- a/tests/failure/fleet.cpp
+++ b/tests/failure/fleet.cpp
@@ -5,6 +5,8 @@
 #include <sstream>
 #include <utility>
 
+#include <doctest/doctest.h>
+
 namespace damaskledge::failure {
 
 namespace {
@@ -182,40 +184,48 @@
   return settled(start_limit);
 }
 
-bool fleet::settled(milliseconds limit) {
+std::string fleet::missing_at(const machine& it) const {
   const auto version_of = [&](const std::string& name) {
     const auto answer = exchange(platform_endpoint(), {.target = "/v1/objects/config/" + name});
     const std::string tag = answer.header("ETag");
     return tag.size() < 3 ? 0 : std::stoi(tag.substr(1, tag.size() - 2));
   };
-  const auto knows_all = [&](machine& it) {
-    const auto status = exchange(operator_endpoint(it), {.target = "/status"}).json();
-    const auto targets = exchange(operator_endpoint(it), {.target = "/targets"}).json();
-    if (!status.is_object() || !targets.is_array()) {
-      return false;
+  const auto status = exchange(operator_endpoint(it), {.target = "/status"}).json();
+  const auto targets = exchange(operator_endpoint(it), {.target = "/targets"}).json();
+  if (!status.is_object() || !targets.is_array()) {
+    return it.name + " does not answer; ";
+  }
+  const auto running = std::count_if(machines_.begin(), machines_.end(), [](const machine& other) {
+    return other.node && other.node->running();
+  });
+  const auto serving = std::count_if(machines_.begin(), machines_.end(), [](const machine& other) {
+    return other.upstream && other.upstream->running();
+  });
+  const auto up = std::count_if(status["members"].begin(), status["members"].end(),
+                                [](const auto& member) { return member["state"] == "up"; });
+  // Until its tokens accrue, a new coordinator's data centre refuses calls within the rate.
+  const bool settled = status["tokens_accrue"] == status["coordinates"] && up == running &&
+                       static_cast<std::ptrdiff_t>(targets.size()) == serving &&
+                       status["documents"].value("lists", 0) == version_of("lists") &&
+                       status["documents"].value("keys", 0) == version_of("keys") &&
+                       status["coordinators"].size() == plan_.data_centres.size();
+  return settled ? "" : it.name + " has " + status.dump() + " and " + targets.dump() + "; ";
+}
+
+bool fleet::settled(milliseconds limit) {
+  std::string missing;
+  const auto all_settled = [&] {
+    missing.clear();
+    for (const machine& it : machines_) {
+      missing += it.node && it.node->running() ? missing_at(it) : "";
     }
-    const auto running = std::count_if(machines_.begin(), machines_.end(), [](machine& other) {
-      return other.node && other.node->running();
-    });
-    const auto serving = std::count_if(machines_.begin(), machines_.end(), [](machine& other) {
-      return other.upstream && other.upstream->running();
-    });
-    const auto up = std::count_if(status["members"].begin(), status["members"].end(),
-                                  [](const auto& member) { return member["state"] == "up"; });
-    // Until its tokens accrue, a new coordinator's data centre refuses calls within the rate.
-    return status["tokens_accrue"] == status["coordinates"] && up == running &&
-           static_cast<std::ptrdiff_t>(targets.size()) == serving &&
-           status["documents"].value("lists", 0) == version_of("lists") &&
-           status["documents"].value("keys", 0) == version_of("keys") &&
-           status["coordinators"].size() == plan_.data_centres.size();
+    return missing.empty();
   };
-  return wait_until(
-      [&] {
-        return std::all_of(machines_.begin(), machines_.end(), [&](machine& it) {
-          return !it.node || !it.node->running() || knows_all(it);
-        });
-      },
-      limit);
+  const bool result = wait_until(all_settled, limit);
+  if (!result) {
+    MESSAGE("not settled: ", missing);
+  }
+  return result;
 }
 
 std::vector<machine*> fleet::of_data_centre(const std::string& name) {
--- a/tests/failure/fleet.h
+++ b/tests/failure/fleet.h
@@ -97,7 +97,8 @@
   endpoint upstream_endpoint(const machine& it) const { return {it.address, 9'000}; }
   endpoint platform_endpoint() const;
 
-  /// Waits until every running node knows all running nodes and has the newest documents.
+  /// Waits until every running node knows all running nodes and has the newest documents, and
+  /// every coordinator accrues tokens. Prints what is missing when the limit has passed.
   bool settled(milliseconds limit);
   /// Runs damaskledgectl with the platform's address.
   control_result control(const std::vector<std::string>& arguments);
@@ -150,6 +151,8 @@
   };
   std::string cut_file(const std::string& data_centre) const;
   std::string data_centre_prefix(const std::string& data_centre) const;
+  /// @return what a node says of itself while it lacks something; empty when it has settled.
+  std::string missing_at(const machine& it) const;
 
   std::string folder_;
   fleet_plan plan_;
