Do not act as coordinator beside a predecessor that runs and is reported dead

Cause: after a takeover, a coordinator acted at once when its predecessor was not alive in the list of members. That list takes over what others report. In the traced run a cut between data centres ended at 35.18 s and reports of deaths from the other side arrived, among them one of dc1-vm1, which ran and continued its term by majority during an outage of the platform. The outage ended at 36.19 s; dc1-vm2, which took dc1-vm1 for dead, wrote its own term at 36.203 s and acted at 36.208 s. Ruled out: pauses and clocks; no process was paused then. Class: a report by others is taken as proof that a process has ended.

Change: a predecessor counts as one that may run while it is reported alive and for the lease term and clock margin after its last probe or acknowledgement. This also holds for the time that a running holder is given after an outage. A member that has left of its own accord does not count.

--- a/source/coordination/coordination.h
+++ b/source/coordination/coordination.h
@@ -35,6 +35,9 @@
   std::vector<std::string> heard_recently;
   /// False while this node is draining; it then gives up its term and does not stand.
   bool may_stand = true;
+  /// Members heard from within the last lease term and clock margin, also those that others report
+  /// as dead.
+  std::vector<std::string> in_contact;
 };
 
 /// Part that this node has in its data centre.
@@ -103,6 +106,7 @@
   static std::string to_content(const lease& value);
   static lease parse_content(const std::string& content);
   std::size_t position() const;
+  bool may_run(const std::string& member) const;
   bool lease_valid(time_point now) const;
   bool object_is_own() const;
   bool majority() const;
--- a/source/coordination/election.cpp
+++ b/source/coordination/election.cpp
@@ -83,6 +83,12 @@
                                                 [this](const auto& it) { return it < node_; }));
 }
 
+/// A member that runs may be reported as dead for a moment, for example by a data centre that was
+/// cut off. Only the end of its messages shows that it no longer continues a term by majority.
+bool election::may_run(const std::string& member) const {
+  return contains(seen_.alive, member) || contains(seen_.in_contact, member);
+}
+
 bool election::lease_valid(time_point now) const {
   return owned_epoch_ > 0 && now < std::max(lease_until_, continued_until_);
 }
@@ -123,7 +129,7 @@
     acting_term_.reset();
     act_from_ = now;
     // A predecessor that is alive may continue by the majority rule until it hears of this term.
-    if (!predecessor_.empty() && contains(seen_.alive, predecessor_)) {
+    if (!predecessor_.empty() && may_run(predecessor_)) {
       act_from_ = now + options_.lease_term + options_.clock_margin;
     } else {
       predecessor_.clear();
@@ -187,7 +193,7 @@
   // The outage of the platform hid the holder's renewals as well; a holder that is alive needs
   // time for the first one after it. A takeover from it would leave the data centre without a
   // coordinator until the holder's term has ended.
-  if (contains(seen_.alive, object_.holder) &&
+  if (may_run(object_.holder) &&
       now - reachable_since_ < renewals_after_outage * options_.renew_period) {
     return false;
   }
@@ -281,7 +287,7 @@
   } else if (!holder_gone_since_) {
     holder_gone_since_ = now;
   }
-  if (!predecessor_.empty() && now < act_from_ && !contains(seen_.alive, predecessor_)) {
+  if (!predecessor_.empty() && now < act_from_ && !may_run(predecessor_)) {
     act_from_ = now;
     term_started_ = now;
     predecessor_.clear();
--- a/source/core/core.cpp
+++ b/source/core/core.cpp
@@ -154,6 +154,7 @@
   view.alive = members_.alive_names(settings_.data_centre);
   const time_point since = now - settings_.coordinator_term;
   view.heard_recently = members_.heard_since(settings_.data_centre, since);
+  view.in_contact = members_.contacted_since(settings_.data_centre, since - settings_.clock_margin);
   if (election_.needs_majority()) {
     // Random probes reach too few members in one term to show a majority.
     append(out.messages,
--- a/source/membership/member_table.cpp
+++ b/source/membership/member_table.cpp
@@ -790,6 +790,18 @@
   return result;
 }
 
+std::vector<std::string> member_table::contacted_since(const std::string& data_centre,
+                                                       time_point since) const {
+  std::vector<std::string> result;
+  for (const auto& [name, row] : rows_) {
+    if (row.record.data_centre == data_centre && row.heard_at > since &&
+        row.record.state != member_state::left) {
+      result.push_back(name);
+    }
+  }
+  return result;
+}
+
 bool member_table::superseded() const {
   return rival_incarnation_ > self_.incarnation;
 }
--- a/source/membership/membership.h
+++ b/source/membership/membership.h
@@ -97,6 +97,9 @@
   /// Members of a data centre from which a probe or acknowledgement came after `since`, and this
   /// node when it belongs to the data centre.
   std::vector<std::string> heard_since(const std::string& data_centre, time_point since) const;
+  /// Members of a data centre from which a probe or acknowledgement came after `since` and that
+  /// have not left; also those that others report as dead.
+  std::vector<std::string> contacted_since(const std::string& data_centre, time_point since) const;
   /// True while another process is known to run under this node's name with a higher
   /// incarnation. This node then sends no probes and answers none.
   bool superseded() const;
--- a/tests/coordination/election_test.cpp
+++ b/tests/coordination/election_test.cpp
@@ -50,6 +50,8 @@
   std::size_t size() const { return nodes_.size(); }
   void set_draining(std::size_t index, bool draining) { nodes_[index].may_stand = !draining; }
   void set_cut(std::size_t index, bool cut) { nodes_[index].platform_cut = cut; }
+  /// Other nodes see a node that runs as dead, because of what another data centre has reported.
+  void set_reported_dead(std::size_t index, bool dead) { nodes_[index].reported_dead = dead; }
 
   void run(duration length) {
     run_until(length, [] { return false; });
@@ -109,6 +111,7 @@
     std::uint64_t process = 0;
     bool may_stand = true;
     bool platform_cut = false;
+    bool reported_dead = false;
     std::map<std::size_t, time_point> heard_at;
   };
   struct event {
@@ -196,7 +199,8 @@
 
   /// SWIM sees a silent member as dead after about 2.5 s.
   bool seen_alive(std::size_t index) const {
-    return running(index) || (now - nodes_[index].silent_since < milliseconds(2'500));
+    return !nodes_[index].reported_dead &&
+           (running(index) || (now - nodes_[index].silent_since < milliseconds(2'500)));
   }
   view view_of(std::size_t index) const {
     view result;
@@ -206,10 +210,13 @@
         result.alive.push_back(name_of(it));
       }
       const auto heard = nodes_[index].heard_at.find(it);
-      if (it == index ||
-          (heard != nodes_[index].heard_at.end() && now - heard->second < settings{}.lease_term)) {
+      const bool in_contact = heard != nodes_[index].heard_at.end();
+      if (it == index || (in_contact && now - heard->second < settings{}.lease_term)) {
         result.heard_recently.push_back(name_of(it));
       }
+      if (in_contact && now - heard->second < settings{}.lease_term + settings{}.clock_margin) {
+        result.in_contact.push_back(name_of(it));
+      }
     }
     return result;
   }
@@ -422,6 +429,26 @@
   }
 }
 
+TEST_CASE("A holder that runs and is reported dead as an outage ends is replaced without overlap") {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    data_centre nodes(6, seed);
+    nodes.run(seconds(5));
+    const auto first = nodes.coordinator();
+    nodes.platform_down = true;
+    nodes.run(seconds(10));
+    REQUIRE(nodes.one_coordinator());
+    nodes.set_cut(first, seed % 2 == 0);
+    nodes.set_reported_dead(first, true);
+    nodes.run(milliseconds(100 * seed));
+    nodes.platform_down = false;
+    nodes.run(seconds(1));
+    nodes.set_reported_dead(first, false);
+    nodes.run(seconds(20));
+    CHECK(nodes.one_coordinator());
+    CHECK(nodes.two_coordinators == 0);
+  }
+}
+
 TEST_CASE("When only one node reaches the platform it becomes coordinator, whatever its name") {
   data_centre nodes(8, 13);
   for (std::size_t it = 0; it < 7; ++it) {
@@ -434,7 +461,7 @@
 
 TEST_CASE("A conflict that this node's own late write caused does not end its term") {
   election machine({}, "vm-1", {"10.0.0.1", 1}, "dc-1", 1);
-  const view seen{{"vm-1"}, {"vm-1"}, true};
+  const view seen{{"vm-1"}, {"vm-1"}, true, {}};
   time_point now{std::chrono::hours(1)};
   auto calls = machine.tick(now, seen);
   REQUIRE(calls.size() == 1);
