Transfer parts of a token that the donor cannot grant itself

Cause: a data centre keeps a reserve for its own demand, also when it has less than one token. Grants are whole tokens, so that part served nobody, while a caller of another data centre waited for it.

Change: less than one token is transferred whole on request. What a data centre asks for is unchanged.

--- a/source/shares/allocator.cpp
+++ b/source/shares/allocator.cpp
@@ -446,10 +446,12 @@
   }
   std::uint32_t given = 0;
   if (state.queue.empty()) {
-    // Half of the available tokens, but at least one, as far as the reserve permits.
+    // Half of the available tokens, but at least one, as far as the reserve permits. Less than one
+    // token serves no request here, but may complete one elsewhere.
     const double half = std::max(1.0, state.available / 2);
+    const double reserve = state.available < 1 ? 0 : local_reserve(state);
     given = std::min(request.wanted_millitokens,
-                     whole_millitokens(std::min(state.available - local_reserve(state), half)));
+                     whole_millitokens(std::min(state.available - reserve, half)));
   }
   if (given > 0 && !may_spend(request.account, state, tokens_of(given), now, "transfer")) {
     given = 0;
--- a/tests/shares/allocator_test.cpp
+++ b/tests/shares/allocator_test.cpp
@@ -216,6 +216,23 @@
   CHECK(under_test.exposure("x", at(802)) + donor_side.exposure("x", at(801)) <= 2 * 1.2 + 1e-6);
 }
 
+TEST_CASE_FIXTURE(fixture, "A part of a token is not kept from a data centre whose caller waits") {
+  under_test.set_limits(at(0), {{"x", {2, 2}}});
+  under_test.start_term(at(0), held, true);
+  run_until(700);
+  REQUIRE(granted(ask(700, 1)) == 1);
+  under_test.tick(at(850));
+  REQUIRE(granted(ask(850, 1, 1)) == -1);
+  REQUIRE(granted(under_test.tick(at(870))) == 0);
+  const double left = under_test.exposure("x", at(870));
+  REQUIRE(left > 0.3);
+  REQUIRE(left < 1);
+  const auto out =
+      under_test.receive(at(870), from("b", wire::transfer_request{"x", "b", 5, 1'000}));
+  REQUIRE(out.size() == 1);
+  CHECK(std::get<wire::transfer_grant>(out[0].body).millitokens >= 1'000 * left - 1);
+}
+
 TEST_CASE("The last take of a caller whose wait is over asks for no further token") {
   node_buckets under_test(settings{}, 5);
   under_test.set_accounts({{"x", whole}});
