Test which members count as in contact

A member that others report as dead counts while its messages come, one that left of its own accord does not. The harness of the election test names the time of the last message apart from contact.

--- a/tests/coordination/election_test.cpp
+++ b/tests/coordination/election_test.cpp
@@ -210,11 +210,11 @@
         result.alive.push_back(name_of(it));
       }
       const auto heard = nodes_[index].heard_at.find(it);
-      const bool in_contact = heard != nodes_[index].heard_at.end();
-      if (it == index || (in_contact && now - heard->second < settings{}.lease_term)) {
+      const bool was_heard = heard != nodes_[index].heard_at.end();
+      if (it == index || (was_heard && now - heard->second < settings{}.lease_term)) {
         result.heard_recently.push_back(name_of(it));
       }
-      if (in_contact && now - heard->second < settings{}.lease_term + settings{}.clock_margin) {
+      if (was_heard && now - heard->second < settings{}.lease_term + settings{}.clock_margin) {
         result.in_contact.push_back(name_of(it));
       }
     }
--- a/tests/membership/member_table_test.cpp
+++ b/tests/membership/member_table_test.cpp
@@ -355,6 +355,28 @@
   MESSAGE("heard of 137 in 3 s: ", unsolicited, " without solicitation");
 }
 
+TEST_CASE("A member that others report as dead counts as one in contact, one that left does not") {
+  cluster nodes(4, 1, 37);
+  nodes.start_joined();
+  const auto since = nodes.now - seconds(3);
+  const auto is_in_contact = [&](std::size_t subject) {
+    const auto names = nodes.at(0).contacted_since("dc-0", since);
+    return std::find(names.begin(), names.end(), name_of(subject)) != names.end();
+  };
+  wire::member_sync_reply reports;
+  for (const std::size_t subject : {2, 3}) {
+    reports.facts.members.push_back(nodes.at(subject).self());
+    reports.facts.members.back().state = subject == 2 ? member_state::dead : member_state::left;
+  }
+  REQUIRE(is_in_contact(2));
+  REQUIRE(is_in_contact(3));
+  nodes.at(0).receive(nodes.now, {name_of(1), address_of(1), reports});
+  REQUIRE(nodes.at(0).state_of(name_of(2)) == member_state::dead);
+  REQUIRE(nodes.at(0).state_of(name_of(3)) == member_state::left);
+  CHECK(is_in_contact(2));
+  CHECK_FALSE(is_in_contact(3));
+}
+
 TEST_CASE("Traffic per node stays within the budget of 8 KB/s in a quiet fleet") {
   for (const std::size_t size : {12U, 137U, 820U}) {
     cluster nodes(size, size == 820 ? 6 : 3, 37);
