--- a/source/check/simulation.h
+++ b/source/check/simulation.h
@@ -153,6 +153,11 @@
   void check_end();
   void fail(const std::string& promise, const std::string& detail);
 
+  static std::string data_centre_name(std::size_t index);
+
+  /// Time after the faults before requests and configurations are judged.
+  static constexpr seconds recovery_time{8};
+
   options wanted_;
   std::vector<fault> schedule_;
   std::mt19937_64 random_;
