--- a/source/membership/membership.h
+++ b/source/membership/membership.h
@@ -105,6 +105,9 @@
   bool superseded() const;
 
  private:
+  /// Bounds memory if a fault elsewhere adds members; the design size is 820 members.
+  static constexpr std::size_t max_members = 16'384;
+
   struct member_row {
     wire::member_record record;
     std::size_t bytes = 0;
@@ -140,6 +143,7 @@
   using outgoing_list = std::vector<wire::outgoing>;
 
   bool is_alive(const member_row& row) const;
+  static endpoint address_of(const wire::member_record& record);
   endpoint own_address() const;
   void note_change(member_row& row);
   void dequeue_change(member_row& row);
