--- a/source/coordination/coordination.h
+++ b/source/coordination/coordination.h
@@ -35,8 +35,8 @@
   std::vector<std::string> heard_recently;
   /// False while this node is draining; it then gives up its term and does not stand.
   bool may_stand = true;
-  /// Members heard from within the last lease term and clock margin, also those that others report
-  /// as dead.
+  /// Members from which a probe or acknowledgement came within the last lease term and clock
+  /// margin, also those that others report as dead.
   std::vector<std::string> in_contact;
 };
 
--- a/source/shares/shares.h
+++ b/source/shares/shares.h
@@ -81,8 +81,8 @@
   /// Handles token requests, transfer requests, transfer grants and transfer receipts.
   std::vector<wire::outgoing> receive(time_point now, const wire::incoming& message);
 
-  /// @return true when tokens accrue: in a term, after those that an earlier term may have granted
-  /// have expired or leave room in the burst.
+  /// @return true in a term, from the time at which tokens of earlier terms no longer fill the
+  /// whole burst.
   bool accrues(time_point now) const;
   /// Tokens that could still be spent under this allocator or its previous term: available,
   /// outstanding and recently transferred. For checks and metrics.
--- a/tests/check/oracle_test.cpp
+++ b/tests/check/oracle_test.cpp
@@ -46,8 +46,8 @@
   CHECK(first.operations_run > 0);
 }
 
-TEST_CASE("A pause that outlasts the faults ends with them for what already waits, too") {
-  // Guards against requests that a process refuses at once, long after the faults, as it wakes.
+TEST_CASE("A pause that outlasts the faults ends with them, also for events that wait") {
+  // Guards against requests of the pause that are refused together long after the faults.
   options wanted;
   wanted.seed = 1;
   wanted.steps = 300'000;
