Log the era of the store, watches that resume, and configurations that are ignored

Cause: the logs could not tell whether a watch went on from a revision that a restored store had given out again, and never named the era of an answer.

Change: Store-Era is read from each answer of the store. store_restored tells that it has risen, watch_resumed the revision from which a watch goes on after a failed call; store_regained and node_registered name the era. A configuration that is older than the one in force has a line, too. The metric damaskledge_node{value="store_era"} is new. No decision changes.

--- a/source/sidecar/agent.cpp
+++ b/source/sidecar/agent.cpp
@@ -252,7 +252,14 @@
   leaf::try_handle_all(
       [&]() -> leaf::result<void> {
         BOOST_LEAF_AUTO(value, adapter::parse_configuration(text));
-        if (configuration_ && value->version() <= configuration_->version()) {
+        if (configuration_ && value->version() < configuration_->version()) {
+          log_.state(log_line("configuration_ignored")
+                         .field("version", static_cast<std::int64_t>(value->version()))
+                         .field("in_force", static_cast<std::int64_t>(configuration_->version()))
+                         .field("source", source));
+          return {};
+        }
+        if (configuration_ && value->version() == configuration_->version()) {
           return {};
         }
         configuration_ = value;
@@ -331,7 +338,9 @@
                                                    adapter::to_json(record));
   writer_.call(std::move(call), store_timeout, [this](const store_answer& answer) {
     counters_.store_call("written");
-    log_.state(log_line("node_registered").field("status", answer.status));
+    log_.state(log_line("node_registered")
+                   .field("status", answer.status)
+                   .field("era", static_cast<std::int64_t>(answer.era)));
     if (answer.status == 200 || answer.status == 201 || answer.status == 409) {
       // The mirror delivers the current object, also after a conflict.
       return;
--- a/source/sidecar/store_client.cpp
+++ b/source/sidecar/store_client.cpp
@@ -82,7 +82,9 @@
 store_answer store_channel::take_answer() {
   auto& message = reader_.message();
   const std::string* instance = message.fields.find(adapter::header::instance);
-  return {message.status, std::move(message.body), instance == nullptr ? "" : *instance};
+  const std::string* era = message.fields.find(adapter::header::store_era);
+  return {message.status, std::move(message.body), instance == nullptr ? "" : *instance,
+          era == nullptr ? 0 : http::parse_number(*era).value_or(0)};
 }
 
 void store_channel::finish(store_answer answer, bool keep) {
@@ -117,6 +119,33 @@
                 [this](const store_answer& answer) { on_page(answer); });
 }
 
+void object_mirror::note_era(const std::string& call, const store_answer& answer) {
+  if (answer.era == 0 || answer.era == era_) {
+    return;
+  }
+  if (era_ != 0) {
+    log_.state(log_line("store_restored")
+                   .field("kind", kind_)
+                   .field("call", call)
+                   .field("status", answer.status)
+                   .field("era", static_cast<std::int64_t>(answer.era))
+                   .field("era_before", static_cast<std::int64_t>(era_))
+                   .field("revision", static_cast<std::int64_t>(revision_)));
+  }
+  era_ = answer.era;
+  counters_.set("store_era", static_cast<double>(era_));
+}
+
+void object_mirror::note_available() {
+  if (!available_) {
+    available_ = true;
+    log_.state(log_line("store_regained")
+                   .field("kind", kind_)
+                   .field("era", static_cast<std::int64_t>(era_))
+                   .field("revision", static_cast<std::int64_t>(revision_)));
+  }
+}
+
 void object_mirror::retry_later(const std::string& what, int status, bool from_list) {
   counters_.store_call("failed");
   if (available_) {
@@ -128,12 +157,17 @@
     if (from_list) {
       list("");
     } else {
+      log_.state(log_line("watch_resumed")
+                     .field("kind", kind_)
+                     .field("era", static_cast<std::int64_t>(era_))
+                     .field("revision", static_cast<std::int64_t>(revision_)));
       watch();
     }
   });
 }
 
 void object_mirror::on_page(const store_answer& answer) {
+  note_era("list", answer);
   const auto page = answer.status == 200 ? adapter::parse_page(answer.body) : std::nullopt;
   if (!page) {
     retry_later("list", answer.status, true);
@@ -147,11 +181,8 @@
     list(page->objects.back().name);
     return;
   }
-  if (!available_) {
-    available_ = true;
-    log_.state(log_line("store_regained").field("kind", kind_));
-  }
   revision_ = page->revision;
+  note_available();
   synchronised_ = true;
   callbacks_.on_listed();
   watch();
@@ -175,6 +206,7 @@
 
 void object_mirror::on_changes(const store_answer& answer) {
   waiting_watch_.reset();
+  note_era("watch", answer);
   if (answer.status == 410) {
     log_.state(log_line("store_history_gone")
                    .field("kind", kind_)
@@ -191,12 +223,9 @@
     return;
   }
   counters_.store_call("watched");
-  if (!available_) {
-    available_ = true;
-    log_.state(log_line("store_regained").field("kind", kind_));
-  }
   backoff_.reset();
   revision_ = std::max(revision_, page->revision);
+  note_available();
   for (const auto& it : page->changes) {
     if (it.removed) {
       callbacks_.on_removed(it.object.name);
--- a/source/sidecar/store_client.h
+++ b/source/sidecar/store_client.h
@@ -23,6 +23,9 @@
   std::string body;
   /// Identity of the target, in the answer to a health check.
   std::string instance;
+  /// Rises whenever the store was restored from an older copy, which loses writes that it had
+  /// acknowledged and gives out their revisions again; 0 when the answer names none.
+  std::uint64_t era = 0;
 };
 
 class store_channel {
@@ -104,6 +107,9 @@
   void on_page(const store_answer& answer);
   void on_changes(const store_answer& answer);
   void retry_later(const std::string& what, int status, bool from_list);
+  /// Logs that the store was restored from an older copy, when an answer shows it.
+  void note_era(const std::string& call, const store_answer& answer);
+  void note_available();
 
   event::timer_group timers_;
   store_channel channel_;
@@ -115,6 +121,8 @@
   instruments& counters_;
   backoff backoff_;
   std::uint64_t revision_ = 0;
+  /// `store_answer::era` of the last answer that named one.
+  std::uint64_t era_ = 0;
   /// Freshness of the watch that waits at the store.
   std::optional<adapter::read_freshness> waiting_watch_;
   bool synchronised_ = false;
