Write a node's entry again when a restored store has lost it

Callers would see: nothing at once. A machine that joins later does not find the node in the list; if their watches skip each other's entries as well, neither sends calls to the other.

Cause: register_node compared the wanted entry with the one remembered, and only a removal told by a watch reset that. After a restoration the list lacks the entry, and a list told nothing of what it lacks.

Change: a mirror reports an object as removed when a later list lacks it. A write that was acknowledged in an earlier era than that of the list read meanwhile is repeated.

--- a/source/sidecar/agent.cpp
+++ b/source/sidecar/agent.cpp
@@ -343,8 +343,14 @@
     log_.state(log_line("node_registered")
                    .field("status", answer.status)
                    .field("era", static_cast<std::int64_t>(answer.era)));
+    configuration_mirror_->restored(answer.era);
+    node_mirror_->restored(answer.era);
     if (answer.status == 200 || answer.status == 201 || answer.status == 409) {
-      // The mirror delivers the current object, also after a conflict.
+      // The mirror delivers the current object, also after a conflict. A list of a restored store
+      // that was read meanwhile lacks what the store wrote before.
+      if (answer.era < node_mirror_->era()) {
+        register_node();
+      }
       return;
     }
     constexpr milliseconds pause{700};
--- a/source/sidecar/store_client.cpp
+++ b/source/sidecar/store_client.cpp
@@ -167,6 +167,7 @@
 
 void object_mirror::proceed() {
   if (list_needed_) {
+    listed_names_.clear();
     list("");
   } else {
     watch();
@@ -213,6 +214,7 @@
     return;
   }
   for (const auto& it : page->objects) {
+    listed_names_.insert(it.name);
     callbacks_.on_object(it);
   }
   if (page->has_more && !page->objects.empty()) {
@@ -224,10 +226,20 @@
   list_needed_ = false;
   resuming_ = false;
   synchronised_ = true;
+  take_listed_names();
   callbacks_.on_listed();
   watch();
 }
 
+void object_mirror::take_listed_names() {
+  const auto before = std::exchange(names_, std::exchange(listed_names_, {}));
+  for (const auto& it : before) {
+    if (!names_.contains(it)) {
+      callbacks_.on_removed(it);
+    }
+  }
+}
+
 void object_mirror::watch() {
   watch_terms terms = terms_();
   if (resuming_) {
@@ -286,8 +298,10 @@
   note_available();
   for (const auto& it : page->changes) {
     if (it.removed) {
+      names_.erase(it.object.name);
       callbacks_.on_removed(it.object.name);
     } else {
+      names_.insert(it.object.name);
       callbacks_.on_object(it.object);
     }
   }
--- a/source/sidecar/store_client.h
+++ b/source/sidecar/store_client.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "event/event.h"
@@ -85,6 +86,7 @@
   struct events {
     /// An object is new or has changed.
     std::function<void(const adapter::stored_object&)> on_object;
+    /// An object was removed, or a list lacks it.
     std::function<void(const std::string& name)> on_removed;
     /// All pages of a list were read.
     std::function<void()> on_listed;
@@ -98,7 +100,7 @@
   object_mirror(event::loop& loop, const endpoint& store, std::string kind,
                 adapter::read_freshness list_freshness, std::function<watch_terms()> terms,
                 events callbacks, event_log& log, instruments& counters);
-  void start() { list(""); }
+  void start() { proceed(); }
   /// Lists the kind again if the store has a later era than this mirror has seen. Call it when an
   /// answer on another connection shows the era.
   void restored(std::uint64_t era);
@@ -106,6 +108,8 @@
   /// current data. Call it when the terms may have changed.
   void renew_watch();
   bool synchronised() const { return synchronised_; }
+  /// @return `store_answer::era` of the last answer that named one, 0 for none.
+  std::uint64_t era() const { return era_; }
 
  private:
   void list(const std::string& after);
@@ -114,6 +118,8 @@
   void proceed();
   void proceed_after(milliseconds pause);
   void on_page(const store_answer& answer);
+  /// Replaces the names in this mirror by those of the list.
+  void take_listed_names();
   void on_changes(const store_answer& answer);
   void retry_later(const std::string& what, int status);
   /// @return true when the answer has another era than the last one: what this mirror knows, and
@@ -131,8 +137,11 @@
   event_log& log_;
   instruments& counters_;
   backoff backoff_;
+  /// Names of the objects in this mirror.
+  std::set<std::string> names_;
+  /// Names on the pages of the list that is being read.
+  std::set<std::string> listed_names_;
   std::uint64_t revision_ = 0;
-  /// `store_answer::era` of the last answer that named one.
   std::uint64_t era_ = 0;
   /// Freshness of the watch that waits at the store.
   std::optional<adapter::read_freshness> waiting_watch_;
--- a/tests/sidecar/agent_test.cpp
+++ b/tests/sidecar/agent_test.cpp
@@ -262,6 +262,18 @@
   CHECK(test::run_until(loop, [&] { return call(0, "GET", "/read/x").status == 200; }));
 }
 
+TEST_CASE_FIXTURE(fleet_fixture,
+                  "An entry that a restored store has lost is not missing while its node runs") {
+  store.save();
+  configure();
+  REQUIRE(settle());
+  REQUIRE(test::run_until(
+      loop, [&] { return store.count("damaskledge-nodes") == 4 && store.waiting() == 8; }));
+  store.restore();
+  configure();
+  CHECK(test::run_until(loop, [&] { return store.count("damaskledge-nodes") == 4; }));
+}
+
 TEST_CASE_FIXTURE(fleet_fixture,
                   "A change that got a lost revision again is not skipped after a restoration") {
   configure("00000001");
