Watch from the first page of a list, so that no change between pages is skipped

Callers would see: at 500 entries or more, a node that goes on with the old address of another one, or does not know it, until the entry changes again.

Cause: the revision of the last page was taken for the whole list. What changed after its page was read and before the last one was neither in the list nor told by the watch.

Change: the watch begins at the revision of the first page; what later pages already show is told again.

--- a/source/sidecar/store_client.cpp
+++ b/source/sidecar/store_client.cpp
@@ -168,6 +168,7 @@
 void object_mirror::proceed() {
   if (list_needed_) {
     listed_names_.clear();
+    listed_revision_.reset();
     list("");
   } else {
     watch();
@@ -213,6 +214,9 @@
     proceed_after(backoff_.next());
     return;
   }
+  if (!listed_revision_) {
+    listed_revision_ = page->revision;
+  }
   for (const auto& it : page->objects) {
     listed_names_.insert(it.name);
     callbacks_.on_object(it);
@@ -221,7 +225,8 @@
     list(page->objects.back().name);
     return;
   }
-  revision_ = page->revision;
+  // An object may change after its page was read and before the last page.
+  revision_ = *listed_revision_;
   note_available();
   list_needed_ = false;
   resuming_ = false;
--- a/source/sidecar/store_client.h
+++ b/source/sidecar/store_client.h
@@ -141,6 +141,8 @@
   std::set<std::string> names_;
   /// Names on the pages of the list that is being read.
   std::set<std::string> listed_names_;
+  /// Revision of the first page of that list.
+  std::optional<std::uint64_t> listed_revision_;
   std::uint64_t revision_ = 0;
   std::uint64_t era_ = 0;
   /// Freshness of the watch that waits at the store.
--- a/tests/sidecar/store_stand_in.h
+++ b/tests/sidecar/store_stand_in.h
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <iterator>
 #include <map>
 #include <string>
 #include <tuple>
@@ -69,6 +70,10 @@
   bool lose_write_answers = false;
   /// Stale lists show a revision that is older by this much.
   std::uint64_t stale_by = 0;
+  /// Objects on one page of a list.
+  std::size_t page_size = 500;
+  /// Runs once, after the next page that is not the last one of its list.
+  std::function<void()> on_page = [] {};
   /// Watches that accept stale data hear of nothing.
   bool stale_watches_late = false;
 
@@ -121,19 +126,31 @@
         loop_.after(milliseconds(parameter(it.target, "wait-ms")), [this, from] { expire(from); });
       }
     } else if (it.method == "GET") {
-      auto items = nlohmann::json::array();
-      for (const auto& [key, value] : objects_) {
-        if (key.first == kind) {
-          items.push_back(to_json(key.second, value));
-        }
-      }
-      const bool stale = it.target.find("allow-stale=1") != std::string::npos;
-      const std::uint64_t at = stale ? revision_ - std::min(revision_, stale_by) : revision_;
-      reply(from, 200, {{"items", items}, {"has-more", false}, {"at", at}});
+      list(from, it.target, kind);
     } else {
       write(from, it, kind);
     }
   }
+  void list(sidecar::request_handle from, const std::string& target, const std::string& kind) {
+    const auto at = target.find("after=");
+    const std::string after =
+        at == std::string::npos ? "" : target.substr(at + 6, target.find('&', at) - at - 6);
+    auto items = nlohmann::json::array();
+    bool more = false;
+    for (auto it = objects_.upper_bound({kind, after}); it != objects_.end(); ++it) {
+      if (it->first.first == kind && !more) {
+        items.push_back(to_json(it->first.second, it->second));
+        const auto next = std::next(it);
+        more = items.size() == page_size && next != objects_.end() && next->first.first == kind;
+      }
+    }
+    const bool stale = target.find("allow-stale=1") != std::string::npos;
+    const std::uint64_t seen = stale ? revision_ - std::min(revision_, stale_by) : revision_;
+    reply(from, 200, {{"items", items}, {"has-more", more}, {"at", seen}});
+    if (more) {
+      std::exchange(on_page, [] {})();
+    }
+  }
   void write(sidecar::request_handle from, const http::request& it, const std::string& kind) {
     const auto body = nlohmann::json::parse(it.body);
     const std::string name = body["metadata"]["name"];
