Keep the link to a node whose directory entry is outdated

Callers would see: requests that may run once answered 502, when the store comes back from a copy in which a node has its former address.

Cause: an entry of the directory replaced the address of a node at once and reset its link, also when the node itself had told its address over that link. After a restoration the list shows entries of before.

Change: an entry that differs from what a connected node has said of itself is kept until the link ends, and tried then.

--- a/source/fleet/fleet.h
+++ b/source/fleet/fleet.h
@@ -319,6 +319,8 @@
   /// Requests at the target as a fraction of its slots.
   placement::smoothed_load load;
   bool connected = false;
+  /// Another address that the directory names; tried once the link has ended.
+  std::optional<endpoint> listed_address;
 };
 
 /// Bytes sent to other nodes since the start, by frame type (index in `frame`).
@@ -387,6 +389,10 @@
 
   /// Adds a node or changes its address.
   void add_node(const std::string& name, const std::string& data_centre, const endpoint& address);
+  /// The same with an entry of the directory, which may be outdated. What a node has said of itself
+  /// takes precedence while it is connected.
+  void add_listed_node(const std::string& name, const std::string& data_centre,
+                       const endpoint& address);
   void remove_node(const std::string& name);
 
   /// Sends a call. Runs the completion exactly once, with `call_result::unknown` if the link
--- a/source/fleet/network.cpp
+++ b/source/fleet/network.cpp
@@ -77,12 +77,27 @@
   node.name = name;
   node.data_centre = data_centre;
   node.address = address;
+  node.listed_address.reset();
   if (!added) {
     link_lost(name, "the address changed");
   }
   connect(name);
 }
 
+void network::add_listed_node(const std::string& name, const std::string& data_centre,
+                              const endpoint& address) {
+  const auto found = nodes_.find(name);
+  const bool confirmed = found != nodes_.end() && found->second.connected &&
+                         found->second.status.address == found->second.address;
+  if (!confirmed) {
+    add_node(name, data_centre, address);
+  } else if (address != found->second.address) {
+    found->second.listed_address = address;
+  } else {
+    found->second.listed_address.reset();
+  }
+}
+
 void network::remove_node(const std::string& name) {
   if (nodes_.count(name) == 0) {
     return;
@@ -127,6 +142,10 @@
 }
 
 void network::connect(const std::string& name) {
+  node_entry& node = nodes_.at(name);
+  if (node.listed_address) {
+    node.address = *std::exchange(node.listed_address, std::nullopt);
+  }
   auto& link = outbound_[name];
   if (!link) {
     link = std::make_unique<outbound_link>();
@@ -136,7 +155,7 @@
   event::stream_options options;
   options.silence_timeout = options_.link_timeout;
   options.read_limit = max_frame_bytes;
-  link->connection = std::make_unique<event::stream>(loop_, nodes_.at(name).address, options);
+  link->connection = std::make_unique<event::stream>(loop_, node.address, options);
   link->connection->handle({
       .on_connected =
           [this, name] {
--- a/source/sidecar/agent.cpp
+++ b/source/sidecar/agent.cpp
@@ -310,7 +310,7 @@
     return;
   }
   if (const auto record = adapter::parse_node_record(object.name, object.content)) {
-    nodes_->add_node(record->name, record->data_centre, record->address);
+    nodes_->add_listed_node(record->name, record->data_centre, record->address);
   } else {
     log_.state(log_line("node_object_malformed").field("name", object.name));
   }
--- a/tests/fleet/frames_test.cpp
+++ b/tests/fleet/frames_test.cpp
@@ -275,6 +275,37 @@
   CHECK(other.links.nodes().at("a1").status.incarnation == 6);
 }
 
+TEST_CASE("An outdated directory entry does not end the link to a node that has told its address") {
+  event::loop loop;
+  auto first = std::make_unique<peer>(loop, "a1", first_port);
+  peer second(loop, "a1", first_port + 4);
+  peer other(loop, "a2", second_port);
+  for (auto* it : {first.get(), &second, &other}) {
+    REQUIRE(it->links.listen());
+  }
+  first->links.add_node("a2", "one", {"127.0.0.1", second_port});
+  REQUIRE(run_until(loop, [&] { return first->links.nodes().at("a2").connected; }));
+  fleet::status_frame status;
+  status.node = "a1";
+  status.data_centre = "one";
+  status.address = {"127.0.0.1", first_port};
+  first->links.broadcast(status);
+  const auto connected_to = [&](std::uint16_t port) {
+    const auto found = other.links.nodes().find("a1");
+    return found != other.links.nodes().end() && found->second.connected &&
+           found->second.address.port == port;
+  };
+  REQUIRE(run_until(loop, [&] { return connected_to(first_port); }));
+  bool ended = false;
+  other.links.call("a1", {}, [&](const fleet::answer_frame&) { ended = true; });
+  other.links.add_listed_node("a1", "one", {"127.0.0.1", first_port + 4});
+  CHECK(connected_to(first_port));
+  CHECK_FALSE(ended);
+  // A node that was replaced is found by its entry once the link to its predecessor has ended.
+  first.reset();
+  CHECK(run_until(loop, [&] { return connected_to(first_port + 4); }));
+}
+
 TEST_CASE("A relay does not add the uses of an earlier start of a node to those of the new one") {
   fleet::node_load pending{"n", 1, {}};
   pending.load.accounts = {{"a", 150, 1}, {"b", 9, 1}};
