Do not accept stale data for ten seconds after a restoration

Callers would see: a confirmed change late at a node that is no relay, while nobody near tells it.

Cause: stale data may be seconds old, so that after a restoration it can still show the store of before, with revisions that are given out again.

Change: watches ask for current data until a restoration is older than what stale data may show.

--- a/source/sidecar/store_client.cpp
+++ b/source/sidecar/store_client.cpp
@@ -15,6 +15,8 @@
 /// Wait of the first watch after a failed call, whose answer tells whether the revision is still
 /// valid. A restored store gives out revisions again, and then accepts those of before.
 constexpr milliseconds resuming_wait{1};
+/// Stale data may be some seconds old, so for this long it may show the store before a restoration.
+constexpr milliseconds stale_data_age{10'000};
 /// A connection is closed when the store's TCP stack has not responded for this long. TCP
 /// keep-alive allows no shorter time.
 constexpr milliseconds store_silence{2'000};
@@ -147,6 +149,8 @@
                    .field("revision", static_cast<std::int64_t>(revision_)));
     list_freshness_ = adapter::read_freshness::current;
     list_needed_ = true;
+    ++recent_restorations_;
+    timers_.after(stale_data_age, [this] { --recent_restorations_; });
   }
   era_ = era;
   counters_.set("store_era", static_cast<double>(era_));
@@ -253,6 +257,8 @@
                    .field("era", static_cast<std::int64_t>(era_))
                    .field("revision", static_cast<std::int64_t>(revision_)));
     terms.wait = resuming_wait;
+  }
+  if (resuming_ || recent_restorations_ > 0) {
     terms.freshness = adapter::read_freshness::current;
   }
   waiting_watch_ = terms.freshness;
--- a/source/sidecar/store_client.h
+++ b/source/sidecar/store_client.h
@@ -145,6 +145,8 @@
   std::optional<std::uint64_t> listed_revision_;
   std::uint64_t revision_ = 0;
   std::uint64_t era_ = 0;
+  /// Restorations so recent that stale data may be older than they are.
+  int recent_restorations_ = 0;
   /// Freshness of the watch that waits at the store.
   std::optional<adapter::read_freshness> waiting_watch_;
   /// The revision cannot be watched, or is unknown.
--- a/tests/sidecar/object_mirror_test.cpp
+++ b/tests/sidecar/object_mirror_test.cpp
@@ -22,6 +22,8 @@
   event::loop loop;
   test::store_stand_in store{loop, {"127.0.0.1", store_port}};
   std::map<std::string, std::string> shown;
+  int lists = 0;
+  sidecar::watch_terms terms;
   sidecar::event_log log{loop, "n"};
   sidecar::instruments counters;
   sidecar::object_mirror mirror{
@@ -29,11 +31,11 @@
       {"127.0.0.1", store_port},
       "k",
       adapter::read_freshness::current,
-      [] { return sidecar::watch_terms{}; },
+      [this] { return terms; },
       {
           .on_object = [this](const adapter::stored_object& it) { shown[it.name] = it.content; },
           .on_removed = [this](const std::string& name) { shown.erase(name); },
-          .on_listed = [] {},
+          .on_listed = [this] { ++lists; },
           .on_restored = [](std::uint64_t) {},
       },
       log,
@@ -73,3 +75,17 @@
   store.restore();
   CHECK(shows({{"a", R"({"value":1})"}}));
 }
+
+TEST_CASE_FIXTURE(mirror_fixture,
+                  "Changes after a restoration are not left to stale data of before") {
+  terms.freshness = adapter::read_freshness::stale;
+  put("a", 1);
+  store.save();
+  mirror.start();
+  REQUIRE(shows({{"a", R"({"value":1})"}}));
+  store.restore();
+  store.stale_watches_late = true;
+  REQUIRE(test::run_until(loop, [&] { return lists == 2 && store.waiting() == 1; }));
+  put("a", 2);
+  CHECK(shows({{"a", R"({"value":2})"}}));
+}
