Restore the store from an older copy in the fault soak

The store is copied every 4 s. Every 8 s on the mean it is away for up to 3 s and comes back from the last copy; the operator writes the configuration again within a second.

--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -31,6 +31,10 @@
 /// Mean pause between two limits, and how long each is named: over before the judged end begins.
 constexpr milliseconds limit_pause{2'000};
 constexpr milliseconds limit_length{5'500};
+/// A restored store is up to this much older.
+constexpr milliseconds store_copy_interval{4'000};
+/// Mean pause between two restorations of the store.
+constexpr milliseconds restoration_pause{8'000};
 
 std::string account_name(std::size_t i) {
   return "account-" + std::to_string(i);
@@ -77,12 +81,13 @@
 
 soak_run::soak_run(soak_options options)
     : options_(std::move(options)), start_(loop_.now()), random_(options_.seed),
-      limit_random_(options_.seed), seen_(start_), all_{loop_,
-                                                        seen_,
-                                                        random_,
-                                                        options_.folder,
-                                                        options_.first_port,
-                                                        {"127.0.0.1", options_.first_port}},
+      limit_random_(options_.seed), restoration_random_(options_.seed),
+      seen_(start_), all_{loop_,
+                          seen_,
+                          random_,
+                          options_.folder,
+                          options_.first_port,
+                          {"127.0.0.1", options_.first_port}},
       store_(loop_, all_.store) {
   for (std::size_t i = 0; i < accounts; ++i) {
     keys_.push_back("key-" + std::to_string(++keys_made_));
@@ -120,25 +125,33 @@
                        {"burst", account_burst}});
   }
   version_ += 1 + random_() % 5;
+  written_ = configuration_of(tenants);
+  write_configuration();
+}
+
+void soak_run::write_configuration() {
+  store_.put("config", "main", written_);
+}
+
+json soak_run::configuration_of(const json& tenants) const {
   char text[16];
   std::snprintf(text, sizeof(text), "%08llx", static_cast<unsigned long long>(version_));
-  store_.put("config", "main",
-             {{"version", text},
-              {"limits",
-               {{"max-header-bytes", 8'192},
-                {"max-body-bytes", 65'536},
-                {"header-timeout-ms", 2'000},
-                {"idle-timeout-ms", 10'000}}},
-              {"tenants", tenants},
-              {"clusters", json::array({{{"name", "front"}, {"health-path", "/up"}},
-                                        {{"name", "deep"}, {"health-path", "/up"}}})},
-              {"listeners",
-               json::array({{{"host", "127.0.0.1"},
-                             {"rules", json::array({rule("/front/read/", "safe", "front", false),
-                                                    rule("/front/once/", "unsafe", "front", false),
-                                                    rule("/deep/read/", "safe", "deep", false),
-                                                    rule("/deep/once/", "unsafe", "deep", false),
-                                                    rule("/below/", "safe", "deep", true)})}}})}});
+  return {{"version", text},
+          {"limits",
+           {{"max-header-bytes", 8'192},
+            {"max-body-bytes", 65'536},
+            {"header-timeout-ms", 2'000},
+            {"idle-timeout-ms", 10'000}}},
+          {"tenants", tenants},
+          {"clusters", json::array({{{"name", "front"}, {"health-path", "/up"}},
+                                    {{"name", "deep"}, {"health-path", "/up"}}})},
+          {"listeners",
+           json::array({{{"host", "127.0.0.1"},
+                         {"rules", json::array({rule("/front/read/", "safe", "front", false),
+                                                rule("/front/once/", "unsafe", "front", false),
+                                                rule("/deep/read/", "safe", "deep", false),
+                                                rule("/deep/once/", "unsafe", "deep", false),
+                                                rule("/below/", "safe", "deep", true)})}}})}};
 }
 
 void soak_run::change_keys() {
@@ -234,6 +247,36 @@
   }
 }
 
+void soak_run::restore_store() {
+  const milliseconds away(restoration_random_() % 3'000);
+  const milliseconds pause(restoration_random_() % 1'000);
+  note("the store is away and comes back from an older copy");
+  store_disturbed_until_ = std::max(store_disturbed_until_, loop_.now() + away + pause);
+  store_.down = true;
+  loop_.after(away, [this, pause] {
+    store_.restore();
+    store_.down = false;
+    // The operator writes again what it has confirmed.
+    loop_.after(pause, [this] { write_configuration(); });
+  });
+}
+
+void soak_run::copy_store() {
+  store_.save();
+  loop_.after(store_copy_interval, [this] { copy_store(); });
+}
+
+void soak_run::plan_restorations() {
+  std::uniform_int_distribution<std::int64_t> pause(restoration_pause.count() / 2,
+                                                    restoration_pause.count() * 3 / 2);
+  loop_.after(milliseconds(pause(restoration_random_)), [this] {
+    if (loop_.now() - start_ < options_.length - cool_down) {
+      restore_store();
+      plan_restorations();
+    }
+  });
+}
+
 void soak_run::inject() {
   vm& at = any_vm();
   const std::string name = "vm" + std::to_string(at.number());
@@ -314,6 +357,7 @@
 }
 
 soak_report soak_run::run() {
+  copy_store();
   loop_.after(warm_up, [this] {
     for (std::size_t i = 0; i < vms_.size() * callers_per_vm; ++i) {
       callers_.push_back(std::make_unique<caller>(all_, *this, *vms_[i % vms_.size()],
@@ -324,6 +368,7 @@
     }
     plan_faults();
     plan_limits();
+    plan_restorations();
   });
   loop_.after(options_.length, [this] {
     for (auto& it : callers_) {
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -58,11 +58,19 @@
   bool calm() const;
 
  private:
+  /// Writes a configuration with the present keys and a new version.
   void configure();
+  void write_configuration();
+  nlohmann::json configuration_of(const nlohmann::json& tenants) const;
   void plan_faults();
   void inject();
   void disturb_link(vm& at, bool store_side);
   void disturb_store();
+  /// Loses what was written since the last copy, entries of nodes included.
+  void restore_store();
+  /// Copies the store at regular intervals.
+  void copy_store();
+  void plan_restorations();
   void change_keys();
   void surge();
   /// Lets targets name limits, one after the other.
@@ -79,6 +87,7 @@
   std::mt19937_64 random_;
   /// Apart from `random_`, so that the other faults of earlier seeds stay as they were.
   std::mt19937_64 limit_random_;
+  std::mt19937_64 restoration_random_;
   history seen_;
   surroundings all_;
   test::store_stand_in store_;
@@ -86,6 +95,8 @@
   std::vector<std::unique_ptr<caller>> callers_;
   std::vector<std::string> keys_;
   std::uint64_t version_ = 0;
+  /// Configuration that the operator wrote last.
+  nlohmann::json written_;
   std::uint64_t keys_made_ = 0;
   time_point store_disturbed_until_{};
   std::vector<fault_record> faults_;
