Order versions of platform objects by the era of the platform

Operators would see: after the platform came back from an older copy, a change that is accepted and never in force, until its version has passed the ones that were lost; callers meanwhile get what the change took away.

Cause: in the project's own interface, too, a version from before was compared with one given out again.

Change: the client of the platform puts the era of the answer above the version of an object, so that versions only rise again, and a condition or a watch from an earlier era is a conflict or returns the object as it is. After a failed call a watch reads first. A document that was in force before and comes back under a later era is logged (configuration-copy-ignored) and does not replace newer content. An election goes on from the highest epoch known when its object was lost. In the first era nothing changes.

--- a/source/coordination/coordination.h
+++ b/source/coordination/coordination.h
@@ -79,6 +79,9 @@
   /// True when the last platform call of this machine was answered.
   bool platform_reachable() const;
 
+  /// @return latest era of the platform that an answer to this machine has shown.
+  std::uint64_t platform_era() const { return platform::era_of(object_version_); }
+
   /// True while this node's part may depend on hearing from the majority of its data centre;
   /// `member_table::solicit` then gets the answers that random probes bring too seldom.
   bool needs_majority() const;
--- a/source/coordination/election.cpp
+++ b/source/coordination/election.cpp
@@ -382,8 +382,15 @@
     if (call.what == purpose::renew || call.what == purpose::take) {
       next_call_ = call.sent_at + options_.renew_period;
     }
-  } else if (std::holds_alternative<platform::absent>(result)) {
+  } else if (const auto* none = std::get_if<platform::absent>(&result)) {
     succeed();
+    if (object_version_ > 0 && none->era > platform::era_of(object_version_)) {
+      // A restored platform has lost the object. Epochs go on from the highest one known.
+      object_version_ = 0;
+      object_ = {};
+      object_known_ = false;
+      owned_epoch_ = 0;
+    }
     // A read that shows no object after one has been seen is stale, or an operator removed it;
     // creation is conditional either way.
     if (!object_known_) {
--- a/source/documents/document_table.cpp
+++ b/source/documents/document_table.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <utility>
 
+#include <glog/logging.h>
 #include <nlohmann/json.hpp>
 
 #include "documents/documents.h"
@@ -237,6 +238,15 @@
   }
 }
 
+/// @return true for a content that was in force before, under a version of a later era of the
+/// platform: the platform was restored from an older copy. Each write has an id of its own, so that
+/// equal contents are one write.
+bool document_table::is_old_copy(const entry& row, const document& value) {
+  return platform::era_of(value.version) > platform::era_of(row.current->version) &&
+         std::any_of(row.history.begin(), row.history.end(),
+                     [&](const auto& it) { return it.second == value.content; });
+}
+
 void document_table::put_in_force(time_point now, entry& row, document value, outgoing_list& out) {
   if (row.current && value.version <= row.current->version) {
     report_violation("document-version", "document " + value.name + " would go from version " +
@@ -244,6 +254,17 @@
                                              std::to_string(value.version));
     return;
   }
+  if (row.current && is_old_copy(row, value)) {
+    // Its version counts as known, so that the next one written is newer. The content stays.
+    LOG(WARNING) << "event=configuration-copy-ignored document=" << value.name
+                 << " version=" << value.version << " in_force=" << row.current->version;
+    row.current->version = value.version;
+    row.current->confirmed_at = std::max(row.current->confirmed_at, value.confirmed_at);
+    row.patches.clear();
+    note_version(row, value.version, nullptr);
+    report(now, row.current->name, row, out);
+    return;
+  }
   if (row.current) {
     row.history[row.current->version] = std::move(row.current->content);
     while (row.history.size() > options_.patch_history) {
--- a/source/documents/documents.h
+++ b/source/documents/documents.h
@@ -120,6 +120,7 @@
   void pull_if_behind(time_point now, const std::string& name, entry& row, outgoing_list& out);
   void offer(time_point now, entry& row, document value, outgoing_list& out);
   void settle(time_point now, entry& row, outgoing_list& out);
+  static bool is_old_copy(const entry& row, const document& value);
   void put_in_force(time_point now, entry& row, document value, outgoing_list& out);
   void spread(const entry& row, outgoing_list& out);
   void report(time_point now, const std::string& name, entry& row, outgoing_list& out);
--- a/source/platform/http_answer.cpp
+++ b/source/platform/http_answer.cpp
@@ -23,6 +23,14 @@
   return value;
 }
 
+std::uint64_t parse_era(std::string_view text) {
+  constexpr std::uint64_t highest = std::uint64_t{1} << (63 - era_shift);
+  std::uint64_t value = 0;
+  const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), value);
+  const bool whole = ec == std::errc{} && end == text.data() + text.size();
+  return whole && value > 0 && value <= highest ? value : 1;
+}
+
 milliseconds parse_retry_after(std::string_view text) {
   unsigned value = 0;
   const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), value);
@@ -55,8 +63,10 @@
   }
   const bool needs_version =
       (result.status == HTTPResponse::HTTP_OK || result.status == HTTPResponse::HTTP_CREATED);
-  if (const auto version = parse_etag(response.get("ETag", ""))) {
-    result.version = *version;
+  result.era = parse_era(response.get("Store-Era", ""));
+  const auto version = parse_etag(response.get("ETag", ""));
+  if (version && (result.era == 1 || stored_version(*version) == *version)) {
+    result.version = version_in_era(result.era, *version);
   } else if (needs_version) {
     result.reason = "the ETag is not a positive decimal number in double quotes";
     return result;
--- a/source/platform/http_answer.h
+++ b/source/platform/http_answer.h
@@ -9,7 +9,7 @@
 
 #include <Poco/Net/HTTPResponse.h>
 
-#include "common/common.h"
+#include "platform/platform.h"
 
 namespace damaskledge::platform {
 
@@ -17,6 +17,9 @@
 /// double quotes.
 std::optional<std::uint64_t> parse_etag(std::string_view text);
 
+/// @return the era of a Store-Era header; 1 when it is not a positive decimal number.
+std::uint64_t parse_era(std::string_view text);
+
 /// @return the time of a Retry-After header in whole seconds, at most 60 s; zero when it is not a
 /// number.
 milliseconds parse_retry_after(std::string_view text);
@@ -30,8 +33,10 @@
 /// What the head of a complete answer says.
 struct answer_head {
   int status = 0;
-  /// Version of a valid ETag; 0 when there is none.
+  /// Version of a valid ETag with the era of the answer; 0 when there is none.
   std::uint64_t version = 0;
+  /// Era of the platform; 1 when the answer names none.
+  std::uint64_t era = 1;
   milliseconds retry_after{0};
   /// False when the status needs a version and the ETag has none.
   bool usable = false;
--- a/source/platform/http_client.cpp
+++ b/source/platform/http_client.cpp
@@ -49,6 +49,7 @@
   int status = 0;
   /// Version of a valid ETag; 0 when there is none.
   std::uint64_t version = 0;
+  std::uint64_t era = 1;
   milliseconds retry_after{0};
   std::string body;
   std::string reason;
@@ -82,7 +83,7 @@
 }
 
 std::string quoted(std::uint64_t version) {
-  return "\"" + std::to_string(version) + "\"";
+  return "\"" + std::to_string(stored_version(version)) + "\"";
 }
 
 milliseconds until(time_point then, time_point now) {
@@ -189,9 +190,17 @@
   }
 
   answer perform(const watch& what) {
+    if (what.known_version > 0 && (may_be_restored_ || era_of(what.known_version) < era_)) {
+      const exchange_result now = get(what.name, false);
+      answer result = from_get(what.name, now);
+      const auto* value = std::get_if<found>(&result);
+      if (value == nullptr || value->value.version > what.known_version) {
+        return result;
+      }
+    }
     const exchange_result it = exchange_in_turn(
         {"GET",
-         object_path(what.name) + "?watch=" + std::to_string(what.known_version) +
+         object_path(what.name) + "?watch=" + std::to_string(stored_version(what.known_version)) +
              "&timeout_ms=" + std::to_string(std::max<std::int64_t>(0, what.timeout.count())),
          "", "", "", what.timeout + watch_margin},
         false, false);
@@ -214,7 +223,7 @@
     if (it.state == exchange_state::lost) {
       const exchange_result now = get(what.name, true);
       if (now.state == exchange_state::answered && now.status == HTTPResponse::HTTP_NOT_FOUND) {
-        return absent{};
+        return absent{now.era};
       }
       if (now.state == exchange_state::answered && now.status == HTTPResponse::HTTP_OK &&
           now.version > what.expected_version) {
@@ -229,7 +238,7 @@
     case HTTPResponse::HTTP_OK:
     case HTTPResponse::HTTP_NO_CONTENT:
     case HTTPResponse::HTTP_NOT_FOUND:
-      return absent{};
+      return absent{it.era};
     case HTTPResponse::HTTP_PRECONDITION_FAILED:
       return conflict{current(what.name)};
     default:
@@ -241,6 +250,10 @@
   answer perform(const write& what) {
     const std::string own_id = write_id_of(what.content);
     std::string reason;
+    if (what.expected_version > 0 && era_of(what.expected_version) < era_) {
+      // The version may have been given out again, to another content.
+      return conflict{current(what.name)};
+    }
     for (int sends = 0; sends < max_write_sends; ++sends) {
       const bool again = sends > 0;
       const exchange_result it = put(what, again);
@@ -298,7 +311,7 @@
     case HTTPResponse::HTTP_OK:
       return found{{name, it.version, it.body}};
     case HTTPResponse::HTTP_NOT_FOUND:
-      return absent{};
+      return absent{it.era};
     default:
       return unavailable{"the platform answered with status " + std::to_string(it.status),
                          backoff::highest_bound};
@@ -308,7 +321,7 @@
   exchange_result put(const write& what, bool follow_up) {
     request_parts parts{"PUT", object_path(what.name), "If-None-Match",
                         "*",   what.content,           timeout_};
-    if (what.expected_version > 0) {
+    if (stored_version(what.expected_version) > 0) {
       parts.condition_name = "If-Match";
       parts.condition_value = quoted(what.expected_version);
     }
@@ -368,10 +381,12 @@
         continue;
       }
       exchange_result answered = exchange(target, parts);
+      note_era(answered);
       if (answered.state == exchange_state::answered && refuse_ && refuse_(target.address)) {
         answered = {exchange_state::lost,
                     0,
                     0,
+                    1,
                     milliseconds{0},
                     "",
                     "no answer from " + to_string(target.address) + ": cut for a test"};
@@ -400,6 +415,15 @@
     return result;
   }
 
+  void note_era(const exchange_result& result) {
+    const bool answered = result.state == exchange_state::answered && !refused(result.status);
+    if (answered) {
+      const std::lock_guard lock(mutex_);
+      era_ = std::max<std::uint64_t>(era_, result.era);
+    }
+    may_be_restored_ = !answered;
+  }
+
   void note_failure(endpoint_state& target, milliseconds asked,
                     std::optional<time_point>& earliest) {
     const std::lock_guard lock(mutex_);
@@ -495,6 +519,7 @@
     answer_head head = check_head(response);
     result.status = head.status;
     result.version = head.version;
+    result.era = head.era;
     result.retry_after = head.retry_after;
     result.reason = std::move(head.reason);
     if (head.usable) {
@@ -528,6 +553,10 @@
   std::size_t preferred_ = 0;
   bool stopped_ = false;
   std::set<HTTPClientSession*> active_;
+  /// Latest era that an answer has shown.
+  std::atomic<std::uint64_t> era_{1};
+  /// The last call failed.
+  std::atomic<bool> may_be_restored_{false};
   std::array<std::atomic<std::uint64_t>, kind_count * result_count> counts_{};
 };
 
--- a/source/platform/platform.h
+++ b/source/platform/platform.h
@@ -14,7 +14,25 @@
 
 namespace damaskledge::platform {
 
-/// An object as the platform returned it. Versions of an object only rise.
+/// Bits of a version below its era.
+inline constexpr unsigned era_shift = 40;
+
+/// @param era of the platform, from 1. It rises when the platform comes back from an older copy and
+/// gives out versions again.
+/// @param stored version of an object in the platform.
+/// @return version that is higher than all versions of earlier eras, and `stored` in the first era.
+constexpr std::uint64_t version_in_era(std::uint64_t era, std::uint64_t stored) {
+  return (era - 1) << era_shift | stored;
+}
+constexpr std::uint64_t era_of(std::uint64_t version) {
+  return (version >> era_shift) + 1;
+}
+constexpr std::uint64_t stored_version(std::uint64_t version) {
+  return version & ((std::uint64_t{1} << era_shift) - 1);
+}
+
+/// An object as the platform returned it. Versions of an object only rise, since they contain the
+/// era of the platform; after a restoration a higher version may have an older content.
 struct object {
   std::string name;
   std::uint64_t version = 0;
@@ -57,7 +75,9 @@
   object value;
 };
 /// The object does not exist.
-struct absent {};
+struct absent {
+  std::uint64_t era = 1;
+};
 /// The condition of an update failed. `current` is the object as read afterwards when
 /// that read succeeded; its version is 0 otherwise.
 struct conflict {
@@ -179,6 +199,9 @@
 ///   old version the client sends the conditional write once more, which is harmless if the
 ///   first copy arrives late. `unresolved` when reading fails too.
 /// * An erased object is `absent`.
+/// * Once an answer has shown a later era, a conditional update on a version of an earlier one is a
+///   conflict, and a watch from such a version returns the object as it is. After a failed call, a
+///   watch reads the object first, since the platform may have been restored meanwhile.
 /// * A watch with `known_version` 0 also waits for an object that does not exist yet.
 /// * Answers that are truncated, larger than `max_answer_bytes`, or whose ETag is not a
 ///   positive decimal number in double quotes count as lost.
--- a/tests/documents/document_table_test.cpp
+++ b/tests/documents/document_table_test.cpp
@@ -227,6 +227,25 @@
   CHECK(version_of(table) == 7);
 }
 
+TEST_CASE(
+    "The copy of a restored platform neither replaces newer content nor hides the next change") {
+  document_table table({}, "dc-1", {"lists"}, 1);
+  const time_point now{std::chrono::hours(1)};
+  for (const std::uint64_t version : {7U, 8U, 9U}) {
+    table.from_platform(now, {"lists", version, text_of(version)});
+  }
+  const auto in_new_era = [](std::uint64_t stored) { return platform::version_in_era(2, stored); };
+  table.from_platform(now, {"lists", in_new_era(7), text_of(7)});
+  REQUIRE(table.in_force("lists").has_value());
+  CHECK(table.in_force("lists")->content == text_of(9));
+  table.receive(
+      now,
+      message_from(peer_a, {wire::document_content{"lists", in_new_era(7), 0, text_of(7), {}, 0}}));
+  CHECK(table.in_force("lists")->content == text_of(9));
+  table.from_platform(now, {"lists", in_new_era(8), text_of(10)});
+  CHECK(table.in_force("lists")->content == text_of(10));
+}
+
 TEST_CASE("A starting node waits for several peers, because the first to answer may lag") {
   document_table table({}, "dc-1", {"lists"}, 1);
   const time_point now{std::chrono::hours(1)};
--- a/tests/platform/http_client_test.cpp
+++ b/tests/platform/http_client_test.cpp
@@ -411,6 +411,42 @@
   CHECK(std::holds_alternative<unavailable>(client->execute(watch{"x", 4, milliseconds{100}})));
 }
 
+TEST_CASE("a version that a restored platform gives out again is not taken for the one before") {
+  stand_ins::platform_server server({});
+  const auto client = client_for({server.address()});
+  client->execute(write{"x", 0, content("a")});
+  server.save();
+  client->execute(write{"x", 1, content("lost")});
+  server.restore();
+  const auto other = client_for({server.address()});
+  const auto restored = other->execute(read{"x"});
+  REQUIRE(std::holds_alternative<found>(restored));
+  const std::uint64_t copied = std::get<found>(restored).value.version;
+  CHECK(copied > 2);
+  CHECK(std::holds_alternative<found>(other->execute(write{"x", copied, content("b")})));
+  // The first client learns of the era from any answer, and then from its own conflict.
+  client->execute(read{"y"});
+  CHECK(std::holds_alternative<conflict>(client->execute(write{"x", 2, content("c")})));
+  const auto watched = client->execute(watch{"x", 2, milliseconds{2'000}});
+  REQUIRE(std::holds_alternative<found>(watched));
+  CHECK(std::get<found>(watched).value.content == content("b"));
+}
+
+TEST_CASE("a watch after an outage does not wait for a version above a lost one") {
+  stand_ins::platform_server server({});
+  const auto client = client_for({server.address()});
+  client->execute(write{"x", 0, content("a")});
+  server.save();
+  client->execute(write{"x", 1, content("lost")});
+  server.set_faults({.outage = true});
+  client->execute(read{"x"});
+  server.restore();
+  server.set_faults({});
+  const auto watched = execute_until_available(*client, watch{"x", 2, milliseconds{30'000}});
+  REQUIRE(std::holds_alternative<found>(watched));
+  CHECK(std::get<found>(watched).value.content == content("a"));
+}
+
 TEST_CASE("an outage ends waiting watches") {
   stand_ins::platform_server server({});
   const auto client = client_for({server.address()});
--- a/tests/stand_ins/platform_server.cpp
+++ b/tests/stand_ins/platform_server.cpp
@@ -79,6 +79,17 @@
   return counters_;
 }
 
+void platform_server::save() {
+  const std::lock_guard lock(mutex_);
+  saved_objects_ = objects_;
+}
+
+void platform_server::restore() {
+  const std::lock_guard lock(mutex_);
+  objects_ = saved_objects_;
+  ++era_;
+}
+
 std::uint64_t platform_server::version(const std::string& name) const {
   const std::lock_guard lock(mutex_);
   const auto it = objects_.find(name);
@@ -104,6 +115,7 @@
     if (faults_.outage) {
       ++counters_.closed_in_outage;
     }
+    exchange.set("Store-Era", std::to_string(era_));
     latency_ms = faults_.latency_ms;
     fail = !faults_.outage && use_up(faults_.failures);
     failure_status = faults_.failure_status;
@@ -389,6 +401,12 @@
       exchange.answer(400, nlohmann::json{{"error", error.what()}});
       return;
     }
+    if (wanted.contains("save")) {
+      save();
+    }
+    if (wanted.contains("restore")) {
+      restore();
+    }
     set_faults(next);
   }
   const platform_counters seen = counters();
--- a/tests/stand_ins/platform_server.h
+++ b/tests/stand_ins/platform_server.h
@@ -73,6 +73,10 @@
   void set_faults(const platform_faults& faults);
   [[nodiscard]] platform_faults faults() const;
   [[nodiscard]] platform_counters counters() const;
+  /// Copies all objects, for `restore`.
+  void save();
+  /// Goes back to the copy: later writes are gone, and versions are given out again.
+  void restore();
   /// @return version of an object; 0 when it does not exist.
   [[nodiscard]] std::uint64_t version(const std::string& name) const;
 
@@ -105,6 +109,9 @@
   std::condition_variable changed_;
   bool stopping_ = false;
   std::map<std::string, stored_object> objects_;
+  std::map<std::string, stored_object> saved_objects_;
+  /// Rises with each restoration; every answer names it.
+  std::uint64_t era_ = 1;
   platform::call_budget reads_;
   platform::call_budget writes_;
   platform_faults faults_;
