Write claims again that a restored platform has lost

Callers would see: an operation that must run once runs twice. Once the platform had lost the claim, the writer that knew it could not write the shard any more (its versions had gone back), and the coordinator of another data centre, asked in its place, granted the operation again.

A writer took the content of the platform for complete.

Change: when a shard comes back in a later era, its writer reads all of it and writes the rows that are missing, at once, whether or not a request needs the shard. A writer that knows nothing of a shard which nobody has checked since the restoration leaves it alone for 10 s; requests are refused as not run meanwhile. The head of a shard names the era in which it was checked.

--- a/source/claims/claim_writer.cpp
+++ b/source/claims/claim_writer.cpp
@@ -6,6 +6,8 @@
 #include <unordered_set>
 #include <utility>
 
+#include <glog/logging.h>
+
 #include "claims/claims.h"
 #include "claims/shard_codec.h"
 
@@ -18,6 +20,9 @@
 constexpr std::size_t max_concurrent_segment_reads = 8;
 /// Attempts to erase an unreferenced segment; one that is left behind only takes up space.
 constexpr int max_erase_attempts = 5;
+/// After a restoration of the platform, a writer that has not read a shard before leaves it to one
+/// that may know more claims than the platform for this long.
+constexpr seconds restored_claims_delay{10};
 
 /// Decision about a queued request. `change` is the row to store, if any.
 struct outcome {
@@ -100,6 +105,12 @@
   milliseconds backoff = initial_backoff;
   time_point last_request_at;
 
+  /// When this writer, which knew nothing of the shard, first read a head that nobody has checked
+  /// since a restoration of the platform.
+  std::optional<time_point> unchecked_since;
+  /// Rows known before a restoration of the platform, until all segments it has are read.
+  row_table to_restore;
+
   const claim_row* find(const id128& operation) const {
     if (const auto it = head.find(operation); it != head.end()) {
       return &it->second;
@@ -143,6 +154,7 @@
   settings options;
   std::mt19937_64 random;
   bool writer = true;
+  std::uint64_t era = 1;
   std::vector<shard> shards;
   std::unordered_map<std::uint64_t, pending_call> calls;
   std::uint64_t next_tag = 0;
@@ -463,8 +475,10 @@
   }
   void apply_head(shard& target, const platform::object& value) {
     std::optional<shard_content> content;
-    if (value.version > 0) {
+    if (platform::stored_version(value.version) > 0) {
       content = decode(value.content);
+    } else if (value.version > 0) {
+      content.emplace();
     }
     if (!content || value.version < target.version) {
       // The object can't be decoded and must not be overwritten, or it is older than the known
@@ -478,6 +492,8 @@
       return;
     }
     requeue(target, true);
+    keep_known_rows(target, value.version, content->segments);
+    const bool unchecked = !target.loaded && content->era < platform::era_of(value.version);
     discard_sealing(target, value.version, content->segments);
     target.version = value.version;
     target.segments = std::move(content->segments);
@@ -492,10 +508,83 @@
     for (const claim_row& it : content->rows) {
       target.head.insert_or_assign(it.operation, it);
     }
+    if (unchecked && leave_to_others(target)) {
+      return;
+    }
     target.loaded = true;
     target.needs_read = false;
     target.backoff = initial_backoff;
   }
+  /// @return true while a writer that knows more claims than the restored platform may still come.
+  bool leave_to_others(shard& target) {
+    if (!target.unchecked_since) {
+      target.unchecked_since = now;
+    }
+    if (now - *target.unchecked_since >= restored_claims_delay) {
+      return false;
+    }
+    back_off(target);
+    return true;
+  }
+  /// Keeps the rows that this writer knows, when the platform was restored: those of the head, and
+  /// of segments that the restored head does not name.
+  void keep_known_rows(shard& target, std::uint64_t version,
+                       const std::vector<segment_reference>& listed) {
+    if (!target.loaded || platform::era_of(version) <= platform::era_of(target.version)) {
+      return;
+    }
+    for (const auto& [operation, row] : target.head) {
+      target.to_restore.insert_or_assign(operation, row);
+    }
+    const bool all_listed =
+        std::all_of(target.segments.begin(), target.segments.end(), [&](const auto& it) {
+          return std::find(listed.begin(), listed.end(), it) != listed.end();
+        });
+    if (!all_listed) {
+      target.to_restore.insert(target.sealed.begin(), target.sealed.end());
+      // Those that the restored head names are read again, to tell which rows they hold.
+      target.sealed.clear();
+      target.segments_read.clear();
+    }
+    if (!target.to_restore.empty()) {
+      demand_write(target);
+    }
+  }
+  /// Adds the rows to the head that the restored platform lacks. All its segments must be read.
+  void restore_rows(shard& target) {
+    std::size_t restored = 0;
+    for (const auto& [operation, row] : std::exchange(target.to_restore, {})) {
+      const claim_row* current = target.find(operation);
+      const bool granted_again = current != nullptr && current->request != row.request &&
+                                 current->state != row_state::released;
+      if (!expired(row.recorded_at) && !granted_again && (current == nullptr || *current != row)) {
+        target.head.insert_or_assign(operation, row);
+        ++restored;
+      }
+    }
+    if (restored > 0) {
+      LOG(WARNING) << "event=claims-restored shard=" << target.index << " rows=" << restored
+                   << " version=" << target.version;
+    }
+  }
+  /// Has the shard written although no request needs it: a withdrawal of a claim that nobody holds.
+  void demand_write(shard& target) {
+    queued_request write;
+    write.type = queued_request::kind::withdraw;
+    write.operation = random_id();
+    write.request = write.operation;
+    write.received = now;
+    target.queue.push_front(std::move(write));
+  }
+  /// Reads and writes the shards again that this writer read in an earlier era of the platform.
+  void check_shards(std::uint64_t era) {
+    for (shard& it : shards) {
+      if (it.loaded && !it.needs_read && !it.in_flight && platform::era_of(it.version) < era) {
+        it.needs_read = true;
+        demand_write(it);
+      }
+    }
+  }
   void discard_sealing(shard& target, std::uint64_t version,
                        const std::vector<segment_reference>& listed) {
     if (!target.sealing || target.sealing->head_version == version) {
@@ -674,7 +763,8 @@
       }
     }
     next.write_id = random_id();
-    const shard_content content{next.write_id, next.segments, next.rows};
+    const shard_content content{next.write_id, next.segments, next.rows,
+                                platform::era_of(target.version)};
     target.in_flight = std::move(next);
     start_call(platform::write{prefix(target) + "head", target.version, encode(content)},
                {call_kind::write_head, target.index, {}, {}, 0});
@@ -702,6 +792,7 @@
     if (!read_segments(target)) {
       return;
     }
+    restore_rows(target);
     if (now - target.queue.front().received >= options.batch_interval) {
       write_head(target);
     }
@@ -710,9 +801,15 @@
   // Answers of the platform.
 
   void on_head_read(shard& target, const platform::answer& result) {
+    const auto* none = std::get_if<platform::absent>(&result);
     if (const auto* value = std::get_if<platform::found>(&result)) {
       apply_head(target, value->value);
-    } else if (std::holds_alternative<platform::absent>(result) && target.version == 0) {
+    } else if (none != nullptr && none->era > 1 &&
+               (none->era > platform::era_of(target.version) ||
+                platform::stored_version(target.version) == 0)) {
+      // The restored platform may have lost the whole shard.
+      apply_head(target, {prefix(target) + "head", platform::version_in_era(none->era, 0), {}});
+    } else if (none != nullptr && platform::stored_version(target.version) == 0) {
       requeue(target, true);
       target.loaded = true;
       target.needs_read = false;
@@ -848,6 +945,10 @@
   impl_->writer = value;
 }
 
+void claim_writer::set_era(std::uint64_t value) {
+  impl_->era = value;
+}
+
 claim_writer::effects claim_writer::receive(time_point now, unix_milliseconds wall,
                                             const wire::incoming& from) {
   impl_->begin(now, wall);
@@ -875,6 +976,7 @@
 
 claim_writer::effects claim_writer::tick(time_point now, unix_milliseconds wall) {
   impl_->begin(now, wall);
+  impl_->check_shards(impl_->era);
   for (shard& it : impl_->shards) {
     impl_->advance(it);
     if (it.loaded && it.queue.empty() && !it.in_flight && it.calls == 0 &&
--- a/source/claims/claims.h
+++ b/source/claims/claims.h
@@ -58,6 +58,9 @@
   /// While `value` is false, new claim requests are answered `not_writer` and new finishes as
   /// not stored. Initially true.
   void set_writer(bool value);
+  /// Tells the era of the platform. Shards that were read in an earlier one are read again, and
+  /// what the platform has lost of them is written again.
+  void set_era(std::uint64_t value);
   /// Messages to send and platform calls to make.
   struct effects {
     std::vector<wire::outgoing> messages;
--- a/source/claims/shard_codec.cpp
+++ b/source/claims/shard_codec.cpp
@@ -97,9 +97,12 @@
   for (const segment_reference& it : value.segments) {
     segments.push_back({to_string(it.id), it.newest, it.rows});
   }
-  const nlohmann::json out = {{"write_id", to_string(value.write_id)},
-                              {"segments", std::move(segments)},
-                              {"rows", encode_rows(value.rows)}};
+  nlohmann::json out = {{"write_id", to_string(value.write_id)},
+                        {"segments", std::move(segments)},
+                        {"rows", encode_rows(value.rows)}};
+  if (value.era > 1) {
+    out["era"] = value.era;
+  }
   return out.dump();
 }
 
@@ -116,6 +119,12 @@
     return std::nullopt;
   }
   shard_content out{*write_id, {}, std::move(*rows)};
+  if (const auto era = in.find("era"); era != in.end()) {
+    if (!era->is_number_unsigned() || era->get<std::uint64_t>() == 0) {
+      return std::nullopt;
+    }
+    out.era = era->get<std::uint64_t>();
+  }
   for (const nlohmann::json& it : in["segments"]) {
     if (!it.is_array() || it.size() != 3 || !it[0].is_string() || !it[1].is_number_unsigned() ||
         !it[2].is_number_unsigned()) {
--- a/tests/claims/claim_writer_test.cpp
+++ b/tests/claims/claim_writer_test.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <map>
 #include <string>
 #include <utility>
@@ -28,6 +29,7 @@
   std::vector<wire::claim_reply> replies;
   std::vector<bool> finishes;
   int writes = 0;
+  std::uint64_t era = 1;
 
   time_point now() const { return time_point{} + milliseconds{clock_ms}; }
   unix_milliseconds wall() const { return epoch + clock_ms; }
@@ -38,7 +40,7 @@
     }
     if (const auto* read = std::get_if<platform::read>(&what)) {
       const auto it = objects.find(read->name);
-      return it == objects.end() ? platform::answer{platform::absent{}}
+      return it == objects.end() ? platform::answer{platform::absent{era}}
                                  : platform::answer{platform::found{it->second}};
     }
     if (const auto* erase = std::get_if<platform::erase>(&what)) {
@@ -47,7 +49,12 @@
     }
     ++writes;
     const auto& write = std::get<platform::write>(what);
-    const platform::object next{write.name, write.expected_version + 1, write.content};
+    if (const auto it = objects.find(write.name);
+        it != objects.end() && it->second.version != write.expected_version) {
+      return platform::conflict{it->second};
+    }
+    const std::uint64_t before = std::max(write.expected_version, platform::version_in_era(era, 0));
+    const platform::object next{write.name, before + 1, write.content};
     objects[write.name] = next;
     return platform::found{next};
   }
@@ -63,6 +70,14 @@
       apply(writer.on_answer(now(), wall(), it.tag, execute(it.what)));
     }
   }
+  /// Goes back to a copy of the objects; their versions are those of a new era.
+  void restore(std::map<std::string, platform::object> copy) {
+    ++era;
+    objects = std::move(copy);
+    for (auto& [name, it] : objects) {
+      it.version = platform::version_in_era(era, platform::stored_version(it.version));
+    }
+  }
   void run(std::int64_t ms) {
     for (const std::int64_t end = clock_ms + ms; clock_ms < end;) {
       clock_ms += 10;
@@ -222,6 +237,39 @@
   CHECK(objects["claims/0/head"].version == 4);
 }
 
+TEST_CASE_FIXTURE(fixture, "Claims that a restored platform has lost are written again") {
+  CHECK(claim(1, 1) == claim_decision::granted);
+  const auto copy = objects;
+  for (std::uint64_t it = 2; it < 20; ++it) {
+    CHECK(claim(it, it) == claim_decision::granted);
+  }
+  restore(copy);
+  CHECK(claim(2, 30) == claim_decision::already_claimed);
+  writer.set_era(2);
+  run(200);
+  // A writer that knows only what the platform holds.
+  writer = claim_writer{options, 2};
+  for (std::uint64_t it = 1; it < 20; ++it) {
+    CHECK(claim(it, 30) == claim_decision::already_claimed);
+  }
+}
+
+TEST_CASE_FIXTURE(fixture,
+                  "A writer does not grant at once what a restored platform may have lost") {
+  CHECK(claim(1, 1) == claim_decision::granted);
+  for (const auto& copy : {objects, {}}) {
+    restore(copy);
+    writer = claim_writer{options, 2};
+    replies.clear();
+    ask(2, 2);
+    run(2'500);
+    REQUIRE(replies.size() == 1);
+    CHECK(replies[0].decision == claim_decision::unavailable);
+    run(9'000);
+    CHECK(claim(2, 3) == claim_decision::granted);
+  }
+}
+
 TEST_CASE("Stored shards survive encoding, and damaged ones are rejected") {
   shard_content value;
   value.write_id = {1, 2};
