Begin the epochs of an era of the platform above those of earlier eras

Callers would see: two processes that hand out the same tokens under one term, or a data centre without a coordinator, after the platform came back from a copy without the lease object.

Cause: a process that has just started knows neither the lost epochs nor other nodes, and takes an epoch that was in use.

Change: an epoch is at least 2^20 times the number of restorations.

--- a/source/coordination/coordination.h
+++ b/source/coordination/coordination.h
@@ -80,7 +80,7 @@
   bool platform_reachable() const;
 
   /// @return latest era of the platform that an answer to this machine has shown.
-  std::uint64_t platform_era() const { return platform::era_of(object_version_); }
+  std::uint64_t platform_era() const { return platform_era_; }
 
   /// True while this node's part may depend on hearing from the majority of its data centre;
   /// `member_table::solicit` then gets the answers that random probes bring too seldom.
@@ -149,6 +149,7 @@
 
   lease object_;
   std::uint64_t object_version_ = 0;
+  std::uint64_t platform_era_ = 1;
   /// True after a read found the object or found that there is none.
   bool object_known_ = false;
   time_point object_changed_at_{};
--- a/source/coordination/election.cpp
+++ b/source/coordination/election.cpp
@@ -26,6 +26,14 @@
 /// Renewal periods for which a living holder is left alone after an outage of the platform.
 constexpr int renewals_after_outage = 2;
 
+/// Epochs of an era of the platform begin above those of earlier eras, which a restored platform
+/// has lost and a process that has just started does not know.
+constexpr unsigned epochs_per_era_bits = 20;
+
+std::uint64_t first_epoch(std::uint64_t era) {
+  return (era - 1) << epochs_per_era_bits;
+}
+
 std::string object_name(const std::string& data_centre) {
   return "coordinator/" + data_centre;
 }
@@ -141,6 +149,7 @@
 }
 
 void election::observe(time_point now, const platform::object& value) {
+  platform_era_ = std::max(platform_era_, platform::era_of(value.version));
   if (value.version >= object_version_) {
     object_read_at_ = now;
   }
@@ -256,7 +265,7 @@
     lease content;
     content.holder = node_;
     content.address = address_;
-    content.epoch = std::max(object_.epoch, highest.epoch) + 1;
+    content.epoch = std::max({object_.epoch, highest.epoch, first_epoch(platform_era_)}) + 1;
     send_write(now, purpose::take, std::move(content), out);
     return;
   }
@@ -384,6 +393,7 @@
     }
   } else if (const auto* none = std::get_if<platform::absent>(&result)) {
     succeed();
+    platform_era_ = std::max(platform_era_, none->era);
     if (object_version_ > 0 && none->era > platform::era_of(object_version_)) {
       // A restored platform has lost the object. Epochs go on from the highest one known.
       object_version_ = 0;
--- a/tests/coordination/election_test.cpp
+++ b/tests/coordination/election_test.cpp
@@ -53,6 +53,18 @@
   /// Other nodes see a node that runs as dead, because of what another data centre has reported.
   void set_reported_dead(std::size_t index, bool dead) { nodes_[index].reported_dead = dead; }
 
+  /// The platform comes back from the copy of some writes before.
+  void restore(std::size_t lost_writes) {
+    ++era_;
+    const std::size_t kept = history_.size() - std::min(history_.size(), lost_writes);
+    if (kept < history_.size()) {
+      content = history_[kept].content;
+      version = history_[kept].version;
+    }
+    history_.resize(kept);
+    version = platform::version_in_era(era_, platform::stored_version(version));
+  }
+
   void run(duration length) {
     run_until(length, [] { return false; });
   }
@@ -148,7 +160,8 @@
   }
   platform::object current() const { return {"coordinator/dc-1", version, content}; }
   bool apply(const platform::write& what) {
-    if (what.expected_version != version) {
+    const bool creates = what.expected_version == 0 && platform::stored_version(version) == 0;
+    if (!creates && what.expected_version != version) {
       return false;
     }
     history_.push_back(current());
@@ -184,8 +197,8 @@
       return;
     }
     ++reads;
-    if (version == 0) {
-      answer(index, process, it.tag, platform::absent{});
+    if (platform::stored_version(version) == 0) {
+      answer(index, process, it.tag, platform::absent{era_});
     } else if (!history_.empty() && history_.back().version > 0 && chance(stale_reads)) {
       const auto& old =
           history_[history_.size() - 1 - random() % std::min<std::size_t>(history_.size(), 3)];
@@ -286,6 +299,7 @@
 
   std::vector<node> nodes_;
   std::vector<platform::object> history_;
+  std::uint64_t era_ = 1;
   std::priority_queue<event> events_;
   std::map<std::pair<std::uint64_t, std::uint32_t>, std::pair<std::size_t, std::uint64_t>>
       term_users_;
@@ -502,6 +516,34 @@
   CHECK(nodes.at(nodes.coordinator()).own_term() > term{7, 0});
 }
 
+TEST_CASE("A restored platform leaves no data centre with two coordinators, or with none") {
+  for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+    CAPTURE(seed);
+    data_centre nodes(5, seed);
+    nodes.run(milliseconds(4'000 + 150 * seed));
+    REQUIRE(nodes.one_coordinator());
+    const std::size_t first = nodes.coordinator();
+    if (seed % 3 == 0) {
+      // Its successor takes over in what the platform loses.
+      nodes.kill(first);
+      nodes.run_until(seconds(20), [&] { return nodes.one_coordinator(); });
+      nodes.run(milliseconds(100 * (seed % 20)));
+    }
+    nodes.platform_down = true;
+    nodes.run(milliseconds(50 * (seed % 7)));
+    nodes.restore(seed % 9);
+    nodes.platform_down = false;
+    if (seed % 4 == 0) {
+      nodes.start(first);
+    }
+    nodes.run(seconds(20));
+    CHECK(nodes.one_coordinator());
+    CHECK(nodes.two_coordinators == 0);
+    CHECK(nodes.equal_terms == 0);
+    CHECK(nodes.repeated_terms == 0);
+  }
+}
+
 TEST_CASE("Malformed content of the lease object is replaced after the usual wait") {
   data_centre nodes(3, 19);
   nodes.content = "not JSON";
