Grant nothing new for ten seconds after a restoration of the platform

Callers would see: an operation that must run once runs twice, when two coordinators had written claims of one shard, for example across a cut between data centres, and the platform lost those of one of them.

Cause: a writer that had rows of its own took them for all that were lost.

Change: every writer writes the rows again that it knows; until 10 s after it has learned of the era, it answers new operations as unavailable (not run).

--- a/source/check/check.cpp
+++ b/source/check/check.cpp
@@ -27,13 +27,23 @@
     fault_kind::restart,
     fault_kind::replace_data_centre,
     fault_kind::bad_network,
+    fault_kind::platform_restored,
 };
+/// Kinds that are drawn where none are named.
+constexpr std::size_t usual_kinds = all_kinds.size() - 1;
 
 std::string_view name_of(fault_kind kind) {
-  constexpr std::array<std::string_view, all_kinds.size()> names{
-      "cut-from-data-centres",  "cut-from-platform",    "platform-outage", "platform-slow",
-      "platform-loses-answers", "platform-stale-reads", "pause",           "restart",
-      "replace-data-centre",    "bad-network"};
+  constexpr std::array<std::string_view, all_kinds.size()> names{"cut-from-data-centres",
+                                                                 "cut-from-platform",
+                                                                 "platform-outage",
+                                                                 "platform-slow",
+                                                                 "platform-loses-answers",
+                                                                 "platform-stale-reads",
+                                                                 "pause",
+                                                                 "restart",
+                                                                 "replace-data-centre",
+                                                                 "bad-network",
+                                                                 "platform-restored"};
   return names.at(static_cast<std::size_t>(kind));
 }
 
@@ -45,6 +55,10 @@
          std::to_string(value.lasts.count()) + " ms";
 }
 
+std::vector<fault_kind> all_fault_kinds() {
+  return {all_kinds.begin(), all_kinds.end()};
+}
+
 std::vector<fault> draw_schedule(const options& wanted) {
   // A generator of its own, so that a shortened schedule leaves the rest of the run unchanged.
   std::mt19937_64 random(wanted.seed ^ 0x9e3779b97f4a7c15ULL);
@@ -55,7 +69,7 @@
   milliseconds at = first_fault;
   while (static_cast<double>(at.count()) < horizon) {
     fault next;
-    next.kind = wanted.kinds.empty() ? all_kinds.at(random() % all_kinds.size())
+    next.kind = wanted.kinds.empty() ? all_kinds.at(random() % usual_kinds)
                                      : wanted.kinds[random() % wanted.kinds.size()];
     next.at = at;
     next.subject = random() % processes;
--- a/source/check/check.h
+++ b/source/check/check.h
@@ -33,6 +33,8 @@
   replace_data_centre,
   /// Datagrams are lost, repeated and delayed more often.
   bad_network,
+  /// The platform loses what was written while the fault lasts. Drawn only where it is asked for.
+  platform_restored,
 };
 
 struct fault {
@@ -54,7 +56,7 @@
   std::uint64_t steps = 200'000;
   std::size_t data_centres = 3;
   std::size_t nodes_per_data_centre = 3;
-  /// Kinds that the schedule draws from; empty for all.
+  /// Kinds that the schedule draws from; empty for all but restorations.
   std::vector<fault_kind> kinds;
 };
 
@@ -82,6 +84,8 @@
   std::uint64_t coordinator_changes = 0;
 };
 
+/// @return all kinds, with restorations of the platform.
+std::vector<fault_kind> all_fault_kinds();
 /// @return the faults that a seed draws.
 std::vector<fault> draw_schedule(const options& wanted);
 /// Runs one seed. The same options and schedule give the same result.
--- a/source/check/simulated_platform.cpp
+++ b/source/check/simulated_platform.cpp
@@ -1,5 +1,6 @@
 #include "check/simulated_platform.h"
 
+#include <algorithm>
 #include <type_traits>
 #include <utility>
 
@@ -13,6 +14,16 @@
 
 } // namespace
 
+void simulated_platform::restore(rows copy) {
+  ++era_;
+  rows_ = std::move(copy);
+  for (auto& [name, it] : rows_) {
+    it.previous.reset();
+    it.current.version =
+        platform::version_in_era(era_, platform::stored_version(it.current.version));
+  }
+}
+
 const platform::object* simulated_platform::find(const std::string& name) const {
   const auto it = rows_.find(name);
   return it == rows_.end() ? nullptr : &it->second.current;
@@ -21,7 +32,7 @@
 platform::answer simulated_platform::read(const std::string& name, std::mt19937_64& random) const {
   const auto it = rows_.find(name);
   if (it == rows_.end()) {
-    return platform::absent{};
+    return platform::absent{era_};
   }
   if (stale_reads && it->second.previous && chance(random, 50)) {
     return platform::found{*it->second.previous};
@@ -32,14 +43,16 @@
 platform::answer simulated_platform::write(const platform::write& what, std::mt19937_64& random) {
   const auto it = rows_.find(what.name);
   const std::uint64_t version = it == rows_.end() ? 0 : it->second.current.version;
-  if (version != what.expected_version) {
+  const bool creates = version == 0 && platform::stored_version(what.expected_version) == 0;
+  if (!creates && version != what.expected_version) {
     return platform::conflict{it == rows_.end() ? platform::object{} : it->second.current};
   }
   row& stored = rows_[what.name];
   if (version > 0) {
     stored.previous = std::move(stored.current);
   }
-  stored.current = {what.name, version + 1, what.content};
+  stored.current = {what.name, std::max(version, platform::version_in_era(era_, 0)) + 1,
+                    what.content};
   if (loses_answers && chance(random, 30)) {
     // The client reads the object to resolve a lost answer; half of the time that fails too.
     if (chance(random, 50)) {
@@ -64,7 +77,7 @@
         } else if constexpr (std::is_same_v<type, platform::erase>) {
           const auto found = rows_.find(it.name);
           if (found == rows_.end()) {
-            return platform::absent{};
+            return platform::absent{era_};
           }
           if (found->second.current.version != it.expected_version) {
             return platform::conflict{found->second.current};
@@ -75,7 +88,7 @@
         } else {
           const auto found = rows_.find(it.name);
           if (found == rows_.end()) {
-            return platform::absent{};
+            return platform::absent{era_};
           }
           if (found->second.current.version <= it.known_version) {
             return std::nullopt;
--- a/source/check/simulated_platform.h
+++ b/source/check/simulated_platform.h
@@ -26,19 +26,25 @@
   /// @return the answer that the client gives, or nothing for a watch that must wait.
   std::optional<platform::answer> execute(const platform::call& what, std::mt19937_64& random);
 
-  /// Content and version, for the oracle.
-  const platform::object* find(const std::string& name) const;
-
- private:
+  /// Objects by name, as they are now.
   struct row {
     platform::object current;
     std::optional<platform::object> previous;
   };
+  using rows = std::map<std::string, row>;
+  rows copy() const { return rows_; }
+  /// Goes back to a copy: later writes are gone, and a new era begins.
+  void restore(rows copy);
 
+  /// Content and version, for the oracle.
+  const platform::object* find(const std::string& name) const;
+
+ private:
   platform::answer read(const std::string& name, std::mt19937_64& random) const;
   platform::answer write(const platform::write& what, std::mt19937_64& random);
 
-  std::map<std::string, row> rows_;
+  rows rows_;
+  std::uint64_t era_ = 1;
 };
 
 } // namespace damaskledge::check
--- a/source/check/simulation.cpp
+++ b/source/check/simulation.cpp
@@ -442,6 +442,14 @@
   case fault_kind::bad_network:
     bad_network_ = true;
     break;
+  case fault_kind::platform_restored:
+    after(it.lasts, [this, copy = platform_.copy()] {
+      if (!healed_) {
+        platform_.restore(copy);
+        wake_watches("");
+      }
+    });
+    break;
   }
   after(it.lasts, [this, it] { end_fault(it); });
 }
@@ -472,6 +480,7 @@
   case fault_kind::pause:
   case fault_kind::restart:
   case fault_kind::replace_data_centre:
+  case fault_kind::platform_restored:
     break;
   }
 }
--- a/source/claims/claim_writer.cpp
+++ b/source/claims/claim_writer.cpp
@@ -20,8 +20,8 @@
 constexpr std::size_t max_concurrent_segment_reads = 8;
 /// Attempts to erase an unreferenced segment; one that is left behind only takes up space.
 constexpr int max_erase_attempts = 5;
-/// After a restoration of the platform, a writer that has not read a shard before leaves it to one
-/// that may know more claims than the platform for this long.
+/// After a restoration of the platform, writers have this long to write the claims again that they
+/// know, before any of them grants what the platform may have lost.
 constexpr seconds restored_claims_delay{10};
 
 /// Decision about a queued request. `change` is the row to store, if any.
@@ -105,9 +105,8 @@
   milliseconds backoff = initial_backoff;
   time_point last_request_at;
 
-  /// When this writer, which knew nothing of the shard, first read a head that nobody has checked
-  /// since a restoration of the platform.
-  std::optional<time_point> unchecked_since;
+  /// Latest era of the platform whose delay had passed when the shard was written.
+  std::uint64_t checked_era = 1;
   /// Rows known before a restoration of the platform, until all segments it has are read.
   row_table to_restore;
 
@@ -154,7 +153,9 @@
   settings options;
   std::mt19937_64 random;
   bool writer = true;
+  /// Latest era of the platform, and since when it is known.
   std::uint64_t era = 1;
+  time_point era_since;
   std::vector<shard> shards;
   std::unordered_map<std::uint64_t, pending_call> calls;
   std::uint64_t next_tag = 0;
@@ -228,9 +229,10 @@
 
   // Decisions.
 
-  outcome decide_claim(const queued_request& what, const claim_row* current) const {
+  outcome decide_claim(const queued_request& what, const claim_row* current,
+                       bool may_create) const {
     if (current == nullptr || current->state == row_state::released) {
-      if (total_rows() >= options.max_rows) {
+      if (!may_create || total_rows() >= options.max_rows) {
         return {};
       }
       outcome result;
@@ -295,13 +297,14 @@
     return result;
   }
 
-  outcome decide(const queued_request& what, const claim_row* current) const {
+  /// @param may_create an operation without a claim may be granted one.
+  outcome decide(const queued_request& what, const claim_row* current, bool may_create) const {
     if (current != nullptr && expired(current->recorded_at)) {
       current = nullptr;
     }
     switch (what.type) {
     case queued_request::kind::claim:
-      return decide_claim(what, current);
+      return decide_claim(what, current, may_create);
     case queued_request::kind::finish:
       return decide_finish(what, current);
     case queued_request::kind::withdraw:
@@ -493,7 +496,8 @@
     }
     requeue(target, true);
     keep_known_rows(target, value.version, content->segments);
-    const bool unchecked = !target.loaded && content->era < platform::era_of(value.version);
+    note_era(platform::era_of(value.version));
+    target.checked_era = std::max(target.checked_era, content->era);
     discard_sealing(target, value.version, content->segments);
     target.version = value.version;
     target.segments = std::move(content->segments);
@@ -508,23 +512,19 @@
     for (const claim_row& it : content->rows) {
       target.head.insert_or_assign(it.operation, it);
     }
-    if (unchecked && leave_to_others(target)) {
-      return;
-    }
     target.loaded = true;
     target.needs_read = false;
     target.backoff = initial_backoff;
   }
-  /// @return true while a writer that knows more claims than the restored platform may still come.
-  bool leave_to_others(shard& target) {
-    if (!target.unchecked_since) {
-      target.unchecked_since = now;
-    }
-    if (now - *target.unchecked_since >= restored_claims_delay) {
-      return false;
+  void note_era(std::uint64_t value) {
+    if (value > era) {
+      era = value;
+      era_since = now;
     }
-    back_off(target);
-    return true;
+  }
+  /// @return true while other writers may know claims that the restored platform has lost.
+  bool unchecked(const shard& target) const {
+    return target.checked_era < era && now - era_since < restored_claims_delay;
   }
   /// Keeps the rows that this writer knows, when the platform was restored: those of the head, and
   /// of segments that the restored head does not name.
@@ -661,7 +661,7 @@
         break;
       }
       const claim_row* current = it != changed.end() ? &it->second : target.find(next.operation);
-      outcome result = decide(next, current);
+      outcome result = decide(next, current, !unchecked(target));
       if (!result.needs_write && it == changed.end()) {
         const queued_request answered = std::move(next);
         target.queue.pop_front();
@@ -764,7 +764,7 @@
     }
     next.write_id = random_id();
     const shard_content content{next.write_id, next.segments, next.rows,
-                                platform::era_of(target.version)};
+                                unchecked(target) ? target.checked_era : era};
     target.in_flight = std::move(next);
     start_call(platform::write{prefix(target) + "head", target.version, encode(content)},
                {call_kind::write_head, target.index, {}, {}, 0});
@@ -916,7 +916,7 @@
     if (what.type == queued_request::kind::claim && current != nullptr) {
       // Known operations are answered from memory, also while the platform is unavailable. A grant
       // is not: it requires a successful write to the store.
-      const outcome result = decide(what, current);
+      const outcome result = decide(what, current, true);
       if (result.decision != wire::claim_decision::granted) {
         reply(target, what, result);
         return;
@@ -945,8 +945,9 @@
   impl_->writer = value;
 }
 
-void claim_writer::set_era(std::uint64_t value) {
-  impl_->era = value;
+void claim_writer::set_era(time_point now, std::uint64_t value) {
+  impl_->now = now;
+  impl_->note_era(value);
 }
 
 claim_writer::effects claim_writer::receive(time_point now, unix_milliseconds wall,
--- a/source/claims/claims.h
+++ b/source/claims/claims.h
@@ -60,7 +60,8 @@
   void set_writer(bool value);
   /// Tells the era of the platform. Shards that were read in an earlier one are read again, and
   /// what the platform has lost of them is written again.
-  void set_era(std::uint64_t value);
+  /// Until other writers have had time for the same, new operations are answered `unavailable`.
+  void set_era(time_point now, std::uint64_t value);
   /// Messages to send and platform calls to make.
   struct effects {
     std::vector<wire::outgoing> messages;
--- a/source/claims/shard_codec.h
+++ b/source/claims/shard_codec.h
@@ -63,7 +63,7 @@
   /// segment, and a row of the head overrides them all.
   std::vector<segment_reference> segments;
   std::vector<claim_row> rows;
-  /// Era of the platform in which a writer last made sure that no claim it knows is missing.
+  /// Latest era of the platform in which writers have had time to add claims that it had lost.
   std::uint64_t era = 1;
 
   bool operator==(const shard_content&) const = default;
--- a/source/core/core.cpp
+++ b/source/core/core.cpp
@@ -191,7 +191,7 @@
   allocator_.set_donors(std::move(donors));
   append(out.messages, allocator_.tick(now));
   if (claiming_) {
-    claim_writer_.set_era(election_.platform_era());
+    claim_writer_.set_era(now, election_.platform_era());
     append(out, claim_writer_.tick(now, wall));
   }
 }
--- a/source/programs/damaskledge_check.cpp
+++ b/source/programs/damaskledge_check.cpp
@@ -10,6 +10,7 @@
 DEFINE_uint64(steps, 200'000, "simulated events of each run");
 DEFINE_uint32(data_centres, 3, "data centres");
 DEFINE_uint32(nodes, 3, "nodes of each data centre");
+DEFINE_bool(restorations, false, "the platform also comes back from older copies");
 DEFINE_int32(shorten_tries, 40, "runs that may be spent on shortening a failing schedule");
 DEFINE_bool(show_log, false, "write the decision code's log to standard error");
 
@@ -30,7 +31,8 @@
   }
   std::cout << "again: damaskledge-check --seed=" << wanted.seed << " --steps=" << wanted.steps
             << " --data_centres=" << wanted.data_centres
-            << " --nodes=" << wanted.nodes_per_data_centre << '\n';
+            << " --nodes=" << wanted.nodes_per_data_centre
+            << (wanted.kinds.empty() ? "" : " --restorations") << '\n';
 }
 
 } // namespace
@@ -49,6 +51,9 @@
     wanted.steps = FLAGS_steps;
     wanted.data_centres = FLAGS_data_centres;
     wanted.nodes_per_data_centre = FLAGS_nodes;
+    if (FLAGS_restorations) {
+      wanted.kinds = check::all_fault_kinds();
+    }
     const check::result outcome = check::run(wanted, check::draw_schedule(wanted));
     std::cout << "seed " << wanted.seed << ": " << outcome.steps << " steps, "
               << outcome.simulated.count() / 1'000 << " s simulated, " << outcome.schedule.size()
--- a/tests/claims/claim_writer_test.cpp
+++ b/tests/claims/claim_writer_test.cpp
@@ -245,7 +245,7 @@
   }
   restore(copy);
   CHECK(claim(2, 30) == claim_decision::already_claimed);
-  writer.set_era(2);
+  writer.set_era(now(), 2);
   run(200);
   // A writer that knows only what the platform holds.
   writer = claim_writer{options, 2};
