Refuse answers of the platform whose era is malformed

Cause: a malformed Store-Era counted as the first era without a word, so that the version of a restored platform would have looked like an old one.

Result: 'an answer with a malformed era is not taken for one of the first era' is new; platform_test passes (40 cases).

--- a/source/platform/http_answer.cpp
+++ b/source/platform/http_answer.cpp
@@ -23,12 +23,12 @@
   return value;
 }
 
-std::uint64_t parse_era(std::string_view text) {
+std::optional<std::uint64_t> parse_era(std::string_view text) {
   constexpr std::uint64_t highest = std::uint64_t{1} << (63 - era_shift);
   std::uint64_t value = 0;
   const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), value);
   const bool whole = ec == std::errc{} && end == text.data() + text.size();
-  return whole && value > 0 && value <= highest ? value : 1;
+  return whole && value > 0 && value <= highest ? std::optional(value) : std::nullopt;
 }
 
 milliseconds parse_retry_after(std::string_view text) {
@@ -63,7 +63,12 @@
   }
   const bool needs_version =
       (result.status == HTTPResponse::HTTP_OK || result.status == HTTPResponse::HTTP_CREATED);
-  result.era = parse_era(response.get("Store-Era", ""));
+  const auto era = parse_era(response.get("Store-Era", "1"));
+  if (!era) {
+    result.reason = "Store-Era is not a positive decimal number";
+    return result;
+  }
+  result.era = *era;
   const auto version = parse_etag(response.get("ETag", ""));
   if (version && (result.era == 1 || stored_version(*version) == *version)) {
     result.version = version_in_era(result.era, *version);
--- a/source/platform/http_answer.h
+++ b/source/platform/http_answer.h
@@ -17,8 +17,8 @@
 /// double quotes.
 std::optional<std::uint64_t> parse_etag(std::string_view text);
 
-/// @return the era of a Store-Era header; 1 when it is not a positive decimal number.
-std::uint64_t parse_era(std::string_view text);
+/// @return the era of a Store-Era header, or nothing when it is not a positive decimal number.
+std::optional<std::uint64_t> parse_era(std::string_view text);
 
 /// @return the time of a Retry-After header in whole seconds, at most 60 s; zero when it is not a
 /// number.
--- a/tests/platform/http_answer_test.cpp
+++ b/tests/platform/http_answer_test.cpp
@@ -5,6 +5,18 @@
 using namespace damaskledge;
 using namespace damaskledge::platform;
 
+TEST_CASE("an answer with a malformed era is not taken for one of the first era") {
+  for (const char* it : {"0", "-1", "x", "", "2 ", "8388609", "18446744073709551616"}) {
+    CAPTURE(it);
+    CHECK_FALSE(parse_era(it).has_value());
+    Poco::Net::HTTPResponse response;
+    response.set("ETag", "\"3\"");
+    response.set("Store-Era", it);
+    CHECK_FALSE(check_head(response).usable);
+  }
+  CHECK(parse_era("2") == 2);
+}
+
 TEST_CASE("a body without a length is whole only when all of it is JSON") {
   // Guards against taking a truncated answer for a whole one.
   const Poco::Net::HTTPResponse response;
