--- a/review/stand_ins/forgotten_leave.cpp
+++ b/review/stand_ins/forgotten_leave.cpp
@@ -29,9 +29,10 @@
   }
   std::vector<std::unique_ptr<target>> targets;
   for (const auto& it : machines) {
-    targets.push_back(std::make_unique<target>(
-        it->service(), it->zone(), it->app(), it->control(), "i-" + it->name(),
-        [](const message&, connection&) { return target::work{200, 1000}; }));
+    targets.push_back(std::make_unique<target>(it->service(), it->zone(), it->app(), it->control(),
+                                               "i-" + it->name(), [](const message&, connection&) {
+                                                 return target::work{200, 1000};
+                                               }));
   }
   if (!wait_until_ready(machines)) {
     finish(could_not_run, machines, folder);
--- a/review/stand_ins/large_deposit.cpp
+++ b/review/stand_ins/large_deposit.cpp
@@ -1,5 +1,5 @@
-// Case: deposits within max-body-bytes take a node over its memory limit; the platform kills it, and
-// the requests of other clients on kept connections end without an answer.
+// Case: deposits within max-body-bytes take a node over its memory limit; the platform kills it,
+// and the requests of other clients on kept connections end without an answer.
 #include "rig.h"
 
 namespace {
--- a/review/stand_ins/late_copies.cpp
+++ b/review/stand_ins/late_copies.cpp
@@ -1,5 +1,5 @@
-// Case: a late second copy of a rejection is taken for the answer to a later unsafe request, which is
-// sent to another target although the first one runs it.
+// Case: a late second copy of a rejection is taken for the answer to a later unsafe request, which
+// is sent to another target although the first one runs it.
 #include "rig.h"
 
 namespace {
--- a/review/stand_ins/rig.h
+++ b/review/stand_ins/rig.h
@@ -2,18 +2,6 @@
 // processes with the command and the template of the deploy file.
 #pragma once
 
-#include <arpa/inet.h>
-#include <fcntl.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <poll.h>
-#include <signal.h>
-#include <sys/prctl.h>
-#include <sys/socket.h>
-#include <sys/stat.h>
-#include <sys/wait.h>
-#include <unistd.h>
-
 #include <algorithm>
 #include <atomic>
 #include <chrono>
@@ -34,7 +22,18 @@
 #include <thread>
 #include <vector>
 
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <nlohmann/json.hpp>
+#include <poll.h>
+#include <signal.h>
+#include <sys/prctl.h>
+#include <sys/socket.h>
+#include <sys/stat.h>
+#include <sys/wait.h>
+#include <unistd.h>
 
 namespace rig {
 
@@ -48,8 +47,12 @@
 constexpr int could_not_run = 2;
 
 inline const steady::time_point started = steady::now();
-inline double seconds() { return std::chrono::duration<double>(steady::now() - started).count(); }
-inline void sleep_ms(long n) { std::this_thread::sleep_for(ms(n)); }
+inline double seconds() {
+  return std::chrono::duration<double>(steady::now() - started).count();
+}
+inline void sleep_ms(long n) {
+  std::this_thread::sleep_for(ms(n));
+}
 
 // Writes record.txt, and the same lines to standard output.
 class record_file {
@@ -347,8 +350,11 @@
   };
   static json show(const std::string& name, const object& it) {
     return {{"metadata",
-             {{"name", name}, {"revision", it.revision}, {"created", 1},
-              {"finalizers", json::array()}, {"deleting", false}}},
+             {{"name", name},
+              {"revision", it.revision},
+              {"created", 1},
+              {"finalizers", json::array()},
+              {"deleting", false}}},
             {"spec", it.spec},
             {"status", nullptr}};
   }
@@ -480,8 +486,8 @@
          std::string id, std::function<work(const message&, connection&)> plan)
       : service_(std::move(service)), zone_(std::move(zone)), at_(at), control_(control),
         id_(std::move(id)), plan_(std::move(plan)),
-        born_(std::chrono::duration_cast<ms>(
-                  std::chrono::system_clock::now().time_since_epoch()).count()),
+        born_(std::chrono::duration_cast<ms>(std::chrono::system_clock::now().time_since_epoch())
+                  .count()),
         server_(at, [this](connection& to, message& it) { return serve(to, it); }) {
     std::thread([this] {
       while (!silent) {
@@ -617,7 +623,8 @@
   std::mt19937 random(std::random_device{}());
   for (int i = 0; i < 100; ++i) {
     plan_of_addresses it;
-    it.net = "127." + std::to_string(10 + random() % 200) + "." + std::to_string(random() % 250) + ".";
+    it.net =
+        "127." + std::to_string(10 + random() % 200) + "." + std::to_string(random() % 250) + ".";
     const int base = 8100 + static_cast<int>(random() % 1500) * 10;
     it.outbound = base;
     it.ready = base + 1;
@@ -823,16 +830,15 @@
                           const std::vector<std::string>& services) {
   auto rules = json::array();
   for (const auto& it : routes) {
-    rules.push_back({{"name", it.name},
-                     {"kind", it.kind},
-                     {"aim-ms", 1500},
-                     {"priority", 1},
-                     {"public", false},
-                     {"match", {{"path-prefix", it.prefix}}},
-                     {"action",
-                      {{"service", it.service},
-                       {"timeout-ms", it.timeout_ms},
-                       {"max-attempts", 2}}}});
+    rules.push_back(
+        {{"name", it.name},
+         {"kind", it.kind},
+         {"aim-ms", 1500},
+         {"priority", 1},
+         {"public", false},
+         {"match", {{"path-prefix", it.prefix}}},
+         {"action",
+          {{"service", it.service}, {"timeout-ms", it.timeout_ms}, {"max-attempts", 2}}}});
   }
   auto clusters = json::array();
   for (const auto& it : services) {
@@ -877,7 +883,8 @@
 // Waits until all nodes are ready, and then until they have heard of the targets.
 inline bool wait_until_ready(const std::vector<std::unique_ptr<machine>>& machines) {
   for (int i = 0; i < 100; ++i) {
-    if (std::all_of(machines.begin(), machines.end(), [](const auto& it) { return it->is_ready(); })) {
+    if (std::all_of(machines.begin(), machines.end(),
+                    [](const auto& it) { return it->is_ready(); })) {
       sleep_ms(4000);
       return true;
     }
--- a/review/stand_ins/slow_reader.cpp
+++ b/review/stand_ins/slow_reader.cpp
@@ -31,12 +31,13 @@
   }
   std::vector<std::unique_ptr<target>> targets;
   for (const auto& it : machines) {
-    targets.push_back(std::make_unique<target>(
-        it->service(), it->zone(), it->app(), it->control(), "i-" + it->name(),
-        [](const message& request, connection&) {
-          return request.path() == "/leny950/long" ? target::work{400, answer_bytes}
-                                                   : target::work{50, 1000};
-        }));
+    targets.push_back(std::make_unique<target>(it->service(), it->zone(), it->app(), it->control(),
+                                               "i-" + it->name(),
+                                               [](const message& request, connection&) {
+                                                 return request.path() == "/leny950/long"
+                                                            ? target::work{400, answer_bytes}
+                                                            : target::work{50, 1000};
+                                               }));
   }
   if (!wait_until_ready(machines)) {
     finish(could_not_run, machines, folder);
@@ -55,7 +56,8 @@
       to.read_timeout(6000);
       message answer;
       const std::string first = "short-" + std::to_string(c);
-      to.send(serialize("GET /leny950/short HTTP/1.1", client_fields(first, deadline_ms), "", false));
+      to.send(
+          serialize("GET /leny950/short HTTP/1.1", client_fields(first, deadline_ms), "", false));
       if (!to.read(answer) || answer.status() != 200) {
         ++other;
         return;
@@ -68,10 +70,13 @@
       char took[32];
       std::snprintf(took, sizeof(took), "%.2f s", seconds() - began);
       if (done) {
-        record.line("client has the whole answer to " + id + " after " + took + ", status " + std::to_string(answer.status()));
+        record.line("client has the whole answer to " + id + " after " + took + ", status " +
+                    std::to_string(answer.status()));
         answer.status() == 200 && answer.body_bytes == answer_bytes ? ++whole : ++other;
       } else {
-        record.line("client gets " + std::to_string(answer.body_bytes) + " of " + answer.find("Content-Length") + " bytes for " + id + " in " + took + ": " + to.why());
+        record.line("client gets " + std::to_string(answer.body_bytes) + " of " +
+                    answer.find("Content-Length") + " bytes for " + id + " in " + took + ": " +
+                    to.why());
         ++cut;
       }
     });
@@ -89,7 +94,8 @@
       sleep_ms(20);
     }
   }
-  const std::string text = std::to_string(whole) + " answers whole, " + std::to_string(cut) + " cut, " + std::to_string(other) + " otherwise";
+  const std::string text = std::to_string(whole) + " answers whole, " + std::to_string(cut) +
+                           " cut, " + std::to_string(other) + " otherwise";
   if (whole + cut == 0) {
     record.verdict("could not run: " + text);
     finish(could_not_run, machines, folder);
--- a/review/stand_ins/smuggle.cpp
+++ b/review/stand_ins/smuggle.cpp
@@ -36,17 +36,19 @@
                              {"huvo11a", "wuno96b"}));
   // The client's machine serves another service than the one that is called.
   std::vector<std::unique_ptr<machine>> machines;
-  machines.push_back(std::make_unique<machine>(plan, 1, "wuno96b", "be-midden-a", store_at, folder.path()));
-  machines.push_back(std::make_unique<machine>(plan, 2, "huvo11a", "be-midden-a", store_at, folder.path()));
+  machines.push_back(
+      std::make_unique<machine>(plan, 1, "wuno96b", "be-midden-a", store_at, folder.path()));
+  machines.push_back(
+      std::make_unique<machine>(plan, 2, "huvo11a", "be-midden-a", store_at, folder.path()));
   std::vector<std::unique_ptr<target>> targets;
   for (const auto& it : machines) {
     it->start(true);
   }
   int n = 0;
   for (const auto& it : machines) {
-    targets.push_back(std::make_unique<target>(it->service(), it->zone(), it->app(), it->control(),
-                                               "i-" + std::to_string(++n),
-                                               [](const message&, connection&) { return target::work{}; }));
+    targets.push_back(std::make_unique<target>(
+        it->service(), it->zone(), it->app(), it->control(), "i-" + std::to_string(++n),
+        [](const message&, connection&) { return target::work{}; }));
   }
   if (!wait_until_ready(machines)) {
     finish(could_not_run, machines, folder);
@@ -64,8 +66,9 @@
   for (int i = 0; i < 20; ++i) {
     const std::string id = "sent-" + std::to_string(i);
     auto fields = client_fields(id, 5000);
-    const std::string inside = trouble() ? hidden + std::to_string(i) + "\r\nX-Tenant: teno311\r\nX-End: x"
-                                         : harmless + std::to_string(i);
+    const std::string inside =
+        trouble() ? hidden + std::to_string(i) + "\r\nX-Tenant: teno311\r\nX-End: x"
+                  : harmless + std::to_string(i);
     fields.emplace_back("X-Title", "=?UTF-8?B?" + base64(inside) + "?=");
     sent.insert(id);
     if (!to.open() && !to.connect(machines[0]->outbound())) {
