Forward header values as they arrived, not as Poco decodes them

Callers saw: a client could put a request for any account into one header field of its own.

Cause: parse_block checked the fields as they arrived and then took them from Poco's parser, which replaces encoded words by their content. Line ends that the content holds got past the check and into the head for the target.

A value above 8,192 bytes was refused although the limit on heads is 16,384.

Change: Poco reads the start line only; the fields come from the lines that were checked. What is checked, framed and forwarded is one text, so that no decoder can add anything after the check. The same code reads the heads of targets' and of the store's answers and of health checks.

--- a/source/http/fields.cpp
+++ b/source/http/fields.cpp
@@ -13,16 +13,6 @@
   return static_cast<char>(std::tolower(static_cast<unsigned char>(value)));
 }
 
-std::string_view trim(std::string_view text) {
-  while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) {
-    text.remove_prefix(1);
-  }
-  while (!text.empty() && (text.back() == ' ' || text.back() == '\t')) {
-    text.remove_suffix(1);
-  }
-  return text;
-}
-
 void append_fields(std::string& out, const header_fields& fields) {
   for (const auto& it : fields.all()) {
     out += it.name;
@@ -34,6 +24,16 @@
 
 } // namespace
 
+std::string_view detail::trim(std::string_view text) {
+  while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) {
+    text.remove_prefix(1);
+  }
+  while (!text.empty() && (text.back() == ' ' || text.back() == '\t')) {
+    text.remove_suffix(1);
+  }
+  return text;
+}
+
 bool same_name(std::string_view a, std::string_view b) {
   return a.size() == b.size() && std::equal(a.begin(), a.end(), b.begin(),
                                             [](char x, char y) { return lower(x) == lower(y); });
@@ -80,7 +80,7 @@
     std::string_view rest = it.value;
     while (!rest.empty()) {
       const auto comma = rest.find(',');
-      names.emplace_back(trim(rest.substr(0, comma)));
+      names.emplace_back(detail::trim(rest.substr(0, comma)));
       rest = comma == std::string_view::npos ? std::string_view{} : rest.substr(comma + 1);
     }
   }
--- a/source/http/http.h
+++ b/source/http/http.h
@@ -73,6 +73,9 @@
 
 namespace detail {
 
+/// @return the text without spaces and tabs at both ends.
+std::string_view trim(std::string_view text);
+
 enum class framing : std::uint8_t { none, length, chunked, until_close };
 
 /// Decodes one message's body from a growing buffer.
--- a/source/http/readers.cpp
+++ b/source/http/readers.cpp
@@ -29,39 +29,35 @@
   return !text.empty() && std::all_of(text.begin(), text.end(), is_token_character);
 }
 
-/// @return true when every line after the first is "name: value" without folding, a space before
-/// the colon or control characters. Parsers differ in how they read such lines.
-bool strict_fields(std::string_view block) {
-  auto at = block.find("\r\n");
-  if (at == std::string_view::npos) {
-    return false;
-  }
-  const auto bad_byte = [](char it) {
+bool has_control_character(std::string_view text) {
+  return std::any_of(text.begin(), text.end(), [](char it) {
     const auto code = static_cast<unsigned char>(it);
     return (code < 0x20 && it != '\t') || code == 0x7F;
-  };
-  const std::string_view first = block.substr(0, at);
-  if (std::any_of(first.begin(), first.end(), bad_byte)) {
-    return false;
+  });
+}
+
+/// @return the field of a line "name: value"; nothing for folding, a space before the colon or
+/// control characters, since parsers differ in how they read such lines.
+std::optional<header_field> parse_field(std::string_view line) {
+  const auto colon = line.find(':');
+  if (colon == std::string_view::npos || !is_token(line.substr(0, colon)) ||
+      has_control_character(line)) {
+    return std::nullopt;
   }
-  block.remove_prefix(at + 2);
-  while (!block.empty()) {
-    at = block.find("\r\n");
-    if (at == std::string_view::npos) {
-      return false;
-    }
-    const std::string_view line = block.substr(0, at);
-    block.remove_prefix(at + 2);
-    if (line.empty()) {
-      break;
-    }
-    const auto colon = line.find(':');
-    if (colon == std::string_view::npos || !is_token(line.substr(0, colon)) ||
-        std::any_of(line.begin(), line.end(), bad_byte)) {
-      return false;
-    }
+  return header_field{std::string(line.substr(0, colon)),
+                      std::string(detail::trim(line.substr(colon + 1)))};
+}
+
+/// Removes the first line, with its end, from `block`.
+/// @return the line without its end; nothing if no line ends in `block`.
+std::optional<std::string_view> take_line(std::string_view& block) {
+  const auto end = block.find("\r\n");
+  if (end == std::string_view::npos) {
+    return std::nullopt;
   }
-  return true;
+  const std::string_view line = block.substr(0, end);
+  block.remove_prefix(end + 2);
+  return line;
 }
 
 struct head_framing {
@@ -116,16 +112,34 @@
 /// @return nothing for a block that is malformed or could be read in more than one way.
 template <class Message>
 std::unique_ptr<parsed_head<Message>> parse_block(std::string_view block) {
-  if (!strict_fields(block)) {
+  const auto start_line = take_line(block);
+  if (!start_line || has_control_character(*start_line)) {
     return nullptr;
   }
   auto result = std::make_unique<parsed_head<Message>>();
   try {
-    Poco::MemoryInputStream in(block.data(), static_cast<std::streamsize>(block.size()));
+    const std::string head = std::string(*start_line) + "\r\n\r\n";
+    Poco::MemoryInputStream in(head.data(), static_cast<std::streamsize>(head.size()));
     result->message.read(in);
   } catch (const Poco::Exception&) {
     return nullptr;
   }
+  // Poco's parser decodes encoded words (RFC 2047) in values, so that line ends can come out of
+  // printable characters. The values passed on must be those that were checked.
+  while (true) {
+    const auto line = take_line(block);
+    if (!line) {
+      return nullptr;
+    }
+    if (line->empty()) {
+      break;
+    }
+    auto field = parse_field(*line);
+    if (!field) {
+      return nullptr;
+    }
+    result->message.add(field->name, field->value);
+  }
   const auto framing = find_framing(result->message);
   if (!framing) {
     return nullptr;
--- a/tests/fuzz/http_message.cpp
+++ b/tests/fuzz/http_message.cpp
@@ -44,6 +44,8 @@
                 "what is passed on is exactly one request");
   fuzz::require(next.message().target == message.target && next.message().body == message.body,
                 "and the same one");
+  fuzz::require(next.message().fields.all().size() == message.fields.all().size() + 1,
+                "with the same fields");
 }
 
 void check_response(std::string_view input) {
--- a/tests/http/readers_test.cpp
+++ b/tests/http/readers_test.cpp
@@ -1,3 +1,5 @@
+#include <string>
+
 #include <doctest/doctest.h>
 
 #include "http/http.h"
@@ -82,6 +84,44 @@
   }
 }
 
+// Guards against a parser that decodes values (RFC 2047), which could add line ends to them.
+TEST_CASE("Field values are passed on as they arrived and cannot hide a request") {
+  const std::string values[] = {
+      "=?UTF-8?B?eA0KWC1UZW5hbnQ6IGINCg0KR0VUIC8gSFRUUC8xLjENCg0K?=", // x, a field, a request
+      "=?UTF-8?Q?x=0D=0AX-Tenant:_b?=",
+      "=?UTF-8?Q?x=0Ay?=",
+      "=?UTF-8?Q?plain?=",
+      "before =?x?= after",
+      "=?x?=",
+      std::string(9'000, 'v'),
+      "\xC3\xA9",
+      "",
+  };
+  for (const auto& value : values) {
+    CAPTURE(value);
+    const std::string fields = "Host: a\r\nX-Title: " + value + "\r\n";
+    std::string input = "GET / HTTP/1.1\r\n" + fields + "\r\n";
+    http::request_reader request{http::message_limits{}};
+    REQUIRE(request.feed(input) == http::read_state::complete);
+    CHECK(*request.message().fields.find("X-Title") == value);
+    CHECK(http::serialize_head(request.message()) == "GET / HTTP/1.1\r\n" + fields);
+
+    http::response_reader response{http::message_limits{}};
+    response.start(true);
+    input = "HTTP/1.1 200 OK\r\n" + fields + "\r\n";
+    REQUIRE(response.feed(input) == http::read_state::complete);
+    CHECK(http::serialize_head(response.message()) == "HTTP/1.1 200 OK\r\n" + fields);
+  }
+}
+
+// Guards against framing that is read from another form of the fields than the one passed on.
+TEST_CASE("Fields that only a decoder reads as framing are refused or have no effect") {
+  CHECK(error_of("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: =?UTF-8?Q?3?=\r\n\r\nabc") ==
+        http::read_error::malformed);
+  CHECK(error_of("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: =?UTF-8?Q?chunked?=\r\n\r\n") ==
+        http::read_error::malformed);
+}
+
 TEST_CASE("Heads and bodies above their limits are refused by kind") {
   CHECK(error_of("GET / HTTP/1.1\r\nHost: a\r\nX: " + std::string(600, 'x')) ==
         http::read_error::head_too_large);
