Refuse decoded line ends in header fields at damaskledge-node

A caller could set Damaskledge-Account, or append a request, with an encoded word (RFC 2047) in one of its own header fields; an upstream could add fields to an answer.

Change: the fields that Poco hands over are checked before they are used. A request with control characters in a field gets 400 (not-run); an answer with them counts as broken, so that its outcome is unknown. Poco's server reads the head in its own constructor, so that its decoder cannot be replaced: encoded words without line ends are still forwarded decoded.

--- a/source/http/fields.cpp
+++ b/source/http/fields.cpp
@@ -34,6 +34,13 @@
   return text;
 }
 
+bool has_control_character(std::string_view text) {
+  return std::any_of(text.begin(), text.end(), [](char it) {
+    const auto code = static_cast<unsigned char>(it);
+    return (code < 0x20 && it != '\t') || code == 0x7F;
+  });
+}
+
 bool same_name(std::string_view a, std::string_view b) {
   return a.size() == b.size() && std::equal(a.begin(), a.end(), b.begin(),
                                             [](char x, char y) { return lower(x) == lower(y); });
--- a/source/http/http.h
+++ b/source/http/http.h
@@ -168,6 +168,8 @@
 std::string serialize(const response& message, bool head_request = false);
 /// @return the standard reason phrase of a status.
 std::string reason_phrase(int status);
+/// @return true for text with control characters other than tabs, which no field value may hold.
+bool has_control_character(std::string_view text);
 /// Compares without case.
 bool same_name(std::string_view a, std::string_view b);
 /// @return the non-negative decimal number, or nothing.
--- a/source/http/readers.cpp
+++ b/source/http/readers.cpp
@@ -29,13 +29,6 @@
   return !text.empty() && std::all_of(text.begin(), text.end(), is_token_character);
 }
 
-bool has_control_character(std::string_view text) {
-  return std::any_of(text.begin(), text.end(), [](char it) {
-    const auto code = static_cast<unsigned char>(it);
-    return (code < 0x20 && it != '\t') || code == 0x7F;
-  });
-}
-
 /// @return the field of a line "name: value"; nothing for folding, a space before the colon or
 /// control characters, since parsers differ in how they read such lines.
 std::optional<header_field> parse_field(std::string_view line) {
--- a/source/node/http_front.cpp
+++ b/source/node/http_front.cpp
@@ -20,6 +20,7 @@
 #include <glog/logging.h>
 #include <sys/socket.h>
 
+#include "http/http.h"
 #include "node/caller_socket.h"
 #include "node/operator_pages.h"
 
@@ -63,15 +64,19 @@
   std::size_t held_ = 0;
 };
 
-/// Checks the framing of a request: a message whose length can be read in two ways may hide
-/// another request (RFC 9112 section 6.3).
-std::optional<refusal> check_framing(const Poco::Net::HTTPServerRequest& request,
-                                     std::size_t max_header_bytes) {
+/// Checks that a request can be forwarded as one request: a message whose length can be read in two
+/// ways may hide another request (RFC 9112 section 6.3).
+std::optional<refusal> check_forwardable(const Poco::Net::HTTPServerRequest& request,
+                                         std::size_t max_header_bytes) {
   std::size_t bytes = request.getURI().size();
   int lengths = 0;
   for (const auto& [name, value] : request) {
     bytes += name.size() + value.size() + 4;
     lengths += Poco::icompare(name, "Content-Length") == 0 ? 1 : 0;
+    // The HTTP library decodes encoded words (RFC 2047), which may hold line ends.
+    if (http::has_control_character(name) || http::has_control_character(value)) {
+      return malformed("send header fields without control characters, also in encoded words");
+    }
   }
   if (bytes > max_header_bytes) {
     return refusal{refusal_reason::headers_too_large, outcome::not_run, milliseconds(0),
@@ -225,7 +230,7 @@
       return refusal{refusal_reason::too_many_connections, outcome::not_run, milliseconds(500),
                      "this node has too many connections; use another node"};
     }
-    return check_framing(request, state_.settings.max_header_bytes);
+    return check_forwardable(request, state_.settings.max_header_bytes);
   }
 
   front_state& state_;
--- a/source/node/upstream_client.cpp
+++ b/source/node/upstream_client.cpp
@@ -17,6 +17,8 @@
 #include <poll.h>
 #include <sys/socket.h>
 
+#include "http/http.h"
+
 namespace damaskledge::node {
 
 namespace {
@@ -93,6 +95,13 @@
   }
 }
 
+/// @return true if a field would end early when it is passed on. The HTTP library decodes encoded
+/// words (RFC 2047), which may hold line ends.
+bool has_unsafe_field(const Poco::Net::HTTPResponse& response) {
+  return std::any_of(response.begin(), response.end(),
+                     [](const auto& it) { return http::has_control_character(it.second); });
+}
+
 header_list copy_headers(const Poco::Net::HTTPResponse& response) {
   header_list result;
   for (const auto& [name, value] : response) {
@@ -313,6 +322,11 @@
       result.result = attempt_result::truncated;
       return result;
     }
+    if (has_unsafe_field(response)) {
+      VLOG(1) << "event=attempt-broken cause=\"control characters in a header field\"";
+      result.result = attempt_result::broken;
+      return result;
+    }
     if (response.has("Damaskledge-Attempt") &&
         response.get("Damaskledge-Attempt") != request.attempt) {
       result.result = attempt_result::mismatched;
--- a/tests/failure/keys_test.cpp
+++ b/tests/failure/keys_test.cpp
@@ -71,6 +71,11 @@
     return "";
   }
   std::uint64_t requests() const { return requests_; }
+  /// Adds a field to the answers from now on.
+  void answer_with(const std::string& name, const std::string& value) {
+    const std::lock_guard lock(mutex_);
+    answer_field_ = {name, value};
+  }
   void answer_all() {
     const std::lock_guard lock(mutex_);
     answering_ = true;
@@ -83,6 +88,9 @@
     headers_.assign(exchange.request().begin(), exchange.request().end());
     ++requests_;
     wake_.wait_for(lock, seconds(8), [&] { return answering_; });
+    if (!answer_field_.first.empty()) {
+      exchange.set(answer_field_.first, answer_field_.second);
+    }
     lock.unlock();
     exchange.answer(200, "seen");
   }
@@ -92,6 +100,7 @@
   std::condition_variable wake_;
   std::vector<std::pair<std::string, std::string>> headers_;
   bool answering_ = false;
+  std::pair<std::string, std::string> answer_field_;
   std::atomic<std::uint64_t> requests_{0};
   std::atomic<bool> stopping_{false};
   stand_ins::http_server server_;
@@ -179,6 +188,42 @@
   }
 }
 
+TEST_CASE("line ends in an encoded word add no field to a request or an answer") {
+  // Guards against the HTTP library's decoder (RFC 2047), which runs after the headers' check.
+  fleet& all = shared();
+  const machine& node = all.machines()[4];
+  look_server look(all.machines()[0]);
+  look.answer_all();
+  const auto call = [&](const std::map<std::string, std::string>& headers) {
+    return all.call(node, "growers", "GET", "/look/look", "", headers);
+  };
+  REQUIRE(wait_until(
+      [&] {
+        return call({{"X-Title", "=?UTF-8?Q?plain?="}}).status == 200;
+      },
+      settle_limit));
+  const auto before = look.requests();
+  for (const std::string word : {
+           // "x", line end, "Damaskledge-Account: crews"
+           "=?UTF-8?B?eA0KRGFtYXNrbGVkZ2UtQWNjb3VudDogY3Jld3M=?=",
+           // "x", end of the head, a request
+           "=?UTF-8?B?eA0KDQpHRVQgL2xvb2svaGlkZGVuIEhUVFAvMS4xDQpIb3N0OiBub2RlDQoNCg==?=",
+       }) {
+    const auto answer = call({{"X-Title", word}});
+    INFO(word, " ", answer.status, " ", answer.body);
+    CHECK(answer.status == 400);
+    CHECK(answer.header("Damaskledge-Outcome") == "not-run");
+  }
+  CHECK(look.requests() == before);
+
+  // "x", line end, "X-Hidden: 1"
+  look.answer_with("X-Title", "=?UTF-8?B?eA0KWC1IaWRkZW46IDE=?=");
+  const auto answer = call({});
+  CHECK(answer.status == 502);
+  CHECK(answer.header("X-Hidden").empty());
+  CHECK_FALSE(all.violated());
+}
+
 TEST_CASE("context tokens work only at their own VM, unchanged, while their request runs") {
   // Guards against an upstream that uses a caller's identity elsewhere or later.
   fleet& all = shared();
