--- a/tests/adapter/adapter_test.cpp
+++ b/tests/adapter/adapter_test.cpp
@@ -73,6 +73,9 @@
       {"\"timeout-ms\": 1000", "\"timeout-ms\": \"x\""},
       {"\"kind\": \"safe\"", "\"k\": 1"},
       {"\"api-keys\": []", "\"api-keys\": [1]"},
+      // Both are written into heads of requests to the target.
+      {"\"name\": \"t1\"", R"("name": "t1\r\nX: y")"},
+      {"\"/up\"", R"("/up HTTP/1.1\r\nX: y")"},
   };
   for (const auto& damage : damages) {
     const std::string& from = damage.first;
