Record the leave of a target in the store before it is acknowledged

Callers saw: requests at a target that had left, and failures of those that it ran as it ended.

Hypotheses: (1) the target is taken back by its health check at the start, (2) by the late announcement, (3) other nodes use an old state of it. (1) is the same fault where the health check passes: the new test shows it.

Cause: that a target leaves was kept in the memory of the process alone. The next process has no earlier announcement to compare with, so that any announcement names a new target.

Change: leave_records keeps the last leave (target, its start, when) in an object of the platform's store for each node. It is written before the leave is acknowledged; an acknowledgement waits for it no longer than 600 ms, and the write is repeated until it is done. A node reads its record at its start and uses no target before; announcements are held meanwhile. If the store does not answer, the target is used once its own health check names it, asked each second. A later start of the target, or another one, is used as before.

Why this works: the record precedes the acknowledgement, and the record is read with current data before the first use, so that every acknowledged leave whose record the store took in time is known to each later process.

--- a/source/sidecar/agent.cpp
+++ b/source/sidecar/agent.cpp
@@ -20,6 +20,11 @@
 /// Nodes that start together appear in the store within about half a second.
 constexpr milliseconds node_watch_pause{500};
 constexpr milliseconds store_timeout{1'500};
+/// A target whose leave is not recorded within this time gets its acknowledgement all the same; it
+/// waits for one for 1 s.
+constexpr milliseconds leave_record_limit{600};
+/// While the record of leaves cannot be read, the target's health check is asked at this interval.
+constexpr milliseconds identify_interval{1'000};
 /// A node that is silent for longer than this is considered lost, and its shares are released.
 constexpr seconds forget_after{20};
 /// Two failed readiness probes, one second apart, take a VM out of rotation; new requests may
@@ -52,6 +57,7 @@
     : loop_(loop), timers_(loop), settings_(values), incarnation_(random_id().low),
       log_(loop, values.name), rates_(values.first_start, incarnation_), budget_({}), crashes_({}),
       writer_(loop, values.store_address), health_(loop, values.upstream_address),
+      leaves_(loop, values.store_address, values.name, log_, counters_),
       configuration_fetch_(incarnation_), started_(loop.now()) {
   set_retry_budget();
   rates_.set_tolerance(values.account_tolerance);
@@ -106,6 +112,7 @@
   executor.service = values.service;
   executor.drain_limit = values.drain_limit;
   target_ = std::make_unique<upstream_executor>(loop, executor, log_, crashes_, [this] {
+    record_leave();
     send_crash_report();
     send_status();
   });
@@ -141,7 +148,11 @@
               },
           .on_removed = [](const std::string&) {},
           .on_listed = [] {},
-          .on_restored = [this](std::uint64_t era) { node_mirror_->restored(era); },
+          .on_restored =
+              [this](std::uint64_t era) {
+                leaves_.restored();
+                node_mirror_->restored(era);
+              },
       },
       log_, counters_);
   node_mirror_ = std::make_unique<object_mirror>(
@@ -163,7 +174,11 @@
                 register_node();
                 forget_lost_nodes();
               },
-          .on_restored = [this](std::uint64_t era) { configuration_mirror_->restored(era); },
+          .on_restored =
+              [this](std::uint64_t era) {
+                leaves_.restored();
+                configuration_mirror_->restored(era);
+              },
       },
       log_, counters_);
 }
@@ -192,6 +207,8 @@
                  .field("incarnation", static_cast<std::int64_t>(incarnation_ >> 1U)));
   configuration_mirror_->start();
   node_mirror_->start();
+  leaves_.load([this](const auto& record) { on_leave_loaded(record); });
+  timers_.after(identify_interval, [this] { identify_without_store(); });
   run_checks();
   end_load_interval();
   log_sent_bytes();
@@ -237,7 +254,7 @@
   }
   if (call->farewell) {
     target_->farewell(call->instance);
-    reply(*announcements_, from, 200, "{}", "application/json");
+    acknowledge_announcement(from);
     return;
   }
   const auto value = adapter::parse_announcement(call->instance, message.body);
@@ -246,8 +263,54 @@
     reply(*announcements_, from, 400, "", "");
     return;
   }
-  target_->announced(*value);
-  reply(*announcements_, from, 200, "{}", "application/json");
+  accept_announcement(*value);
+  acknowledge_announcement(from);
+}
+
+void agent::accept_announcement(const adapter::target_announcement& value) {
+  if (leaves_.loaded() || target_->known() || value.leaving) {
+    target_->announced(value);
+    return;
+  }
+  const auto order = [](const adapter::target_announcement& it) {
+    return std::pair(it.started, it.sequence);
+  };
+  if (!held_announcement_ || order(*held_announcement_) < order(value)) {
+    held_announcement_ = value;
+  }
+}
+
+void agent::acknowledge_announcement(request_handle from) {
+  const auto acknowledge = [this, from] {
+    reply(*announcements_, from, 200, "{}", "application/json");
+  };
+  if (!target_->leave()) {
+    acknowledge();
+    return;
+  }
+  // The acknowledgement of a leave binds a later process of this node, too.
+  record_leave();
+  leaves_.when_stored(leave_record_limit, acknowledge);
+}
+
+void agent::record_leave() {
+  if (const auto leave = target_->leave()) {
+    leaves_.store(*leave);
+  }
+}
+
+void agent::on_leave_loaded(const std::optional<adapter::leave_record>& record) {
+  if (record) {
+    log_.state(log_line("leave_recalled")
+                   .field("instance", record->instance)
+                   .field("started", record->started)
+                   .field("left", record->left));
+    target_->recalled(*record);
+  }
+  if (held_announcement_) {
+    target_->announced(*std::exchange(held_announcement_, std::nullopt));
+  }
+  identify_target();
 }
 
 void agent::apply_configuration(const std::string& text, const std::string& source) {
@@ -277,7 +340,9 @@
         log_.state(log_line("configuration_in_force")
                        .field("version", static_cast<std::int64_t>(value->version()))
                        .field("source", source));
-        identify_target();
+        if (leaves_.loaded()) {
+          identify_target();
+        }
         announce_load();
         return {};
       },
@@ -287,8 +352,16 @@
       [&] { log_.state(log_line("configuration_rejected").field("why", "unknown error")); });
 }
 
+void agent::identify_without_store() {
+  if (!leaves_.loaded() && !target_->known()) {
+    identify_target();
+    timers_.after(identify_interval, [this] { identify_without_store(); });
+  }
+}
+
 void agent::identify_target() {
-  const traffic::service* service = configuration_->find_service(settings_.service);
+  const traffic::service* service =
+      configuration_ ? configuration_->find_service(settings_.service) : nullptr;
   if (service == nullptr || target_->known() || health_.busy()) {
     return;
   }
@@ -298,6 +371,9 @@
   health_.call(std::move(probe), store_timeout, [this](const store_answer& answer) {
     if (answer.status == 200 && !answer.instance.empty()) {
       target_->identified(answer.instance);
+      if (held_announcement_ && held_announcement_->instance == answer.instance) {
+        target_->announced(*std::exchange(held_announcement_, std::nullopt));
+      }
     }
   });
 }
--- a/source/sidecar/agent.h
+++ b/source/sidecar/agent.h
@@ -10,6 +10,7 @@
 #include "sidecar/event_log.h"
 #include "sidecar/http_service.h"
 #include "sidecar/instruments.h"
+#include "sidecar/leave_records.h"
 #include "sidecar/router.h"
 #include "sidecar/sidecar.h"
 #include "sidecar/store_client.h"
@@ -54,6 +55,12 @@
   void on_summary(const fleet::digest_frame& digest);
   void fetch_configuration();
   void on_announcement(request_handle from, http::request& message);
+  /// Applies an announcement, or keeps it until it is known whether the target has left.
+  void accept_announcement(const adapter::target_announcement& value);
+  void acknowledge_announcement(request_handle from);
+  /// Has the leave of the target recorded, if it leaves.
+  void record_leave();
+  void on_leave_loaded(const std::optional<adapter::leave_record>& record);
   void on_ready(request_handle from);
   void on_metrics(request_handle from);
   void apply_configuration(const std::string& text, const std::string& source);
@@ -61,6 +68,8 @@
   watch_terms configuration_terms() const;
   void register_node();
   void identify_target();
+  /// Asks the target itself while the store cannot tell whether it has left.
+  void identify_without_store();
   void send_status();
   /// Takes the usage to report; the load must reach the near nodes and the next digest.
   fleet::load_frame make_load();
@@ -116,6 +125,9 @@
   std::unique_ptr<object_mirror> node_mirror_;
   store_channel writer_;
   store_channel health_;
+  leave_records leaves_;
+  /// The latest announcement that came before the record of leaves was read.
+  std::optional<adapter::target_announcement> held_announcement_;
   std::shared_ptr<const traffic::configuration> configuration_;
   /// Source text of the configuration in force, sent to nodes that cannot reach the store.
   std::string configuration_text_;
--- a/source/sidecar/target_identity.cpp
+++ b/source/sidecar/target_identity.cpp
@@ -56,4 +56,26 @@
   return true;
 }
 
+bool target_identity::recalled(const moment& now, const adapter::leave_record& record) {
+  const bool same_start = start_ && record.started != 0 ? start_->began == record.started
+                                                        : !start_ || start_->began <= record.left;
+  if (leaving() || (!instance_.empty() && (record.instance != instance_ || !same_start))) {
+    return false;
+  }
+  instance_ = record.instance;
+  if (!start_ && record.started != 0) {
+    start_ = {record.started, 0};
+  }
+  const milliseconds ago(std::max<unix_milliseconds>(now.wall - record.left, 0));
+  leaving_since_ = {now.steady - ago, record.left};
+  return true;
+}
+
+std::optional<adapter::leave_record> target_identity::leave() const {
+  if (!leaving()) {
+    return std::nullopt;
+  }
+  return adapter::leave_record{instance_, start_ ? start_->began : 0, leaving_since_->wall};
+}
+
 } // namespace damaskledge::sidecar
--- a/source/sidecar/target_identity.h
+++ b/source/sidecar/target_identity.h
@@ -40,10 +40,15 @@
   /// Applies a statement of the target that it leaves; the statement does not name the start.
   /// @return false if another target is known.
   bool leaves(const moment& now, const std::string& instance);
+  /// Applies a leave that an earlier process of this node has recorded.
+  /// @return false if it concerns another start than the one that is known.
+  bool recalled(const moment& now, const adapter::leave_record& record);
 
   /// @return empty while no target is known.
   const std::string& instance() const { return instance_; }
   bool leaving() const { return leaving_since_.has_value(); }
+  /// @return the leave of the target that is known, or nothing.
+  std::optional<adapter::leave_record> leave() const;
   /// When the target has said first that it leaves.
   const std::optional<moment>& leaving_since() const { return leaving_since_; }
 
--- a/source/sidecar/upstream_executor.cpp
+++ b/source/sidecar/upstream_executor.cpp
@@ -125,6 +125,12 @@
   }
 }
 
+void upstream_executor::recalled(const adapter::leave_record& record) {
+  if (identity_.recalled(now(), record)) {
+    set_state(target_state::leaving, "recorded leave");
+  }
+}
+
 void upstream_executor::identified(const std::string& instance) {
   if (identity_.identified(instance)) {
     set_state(target_state::ready, "health check");
--- a/source/sidecar/upstream_executor.h
+++ b/source/sidecar/upstream_executor.h
@@ -108,11 +108,16 @@
   void announced(const adapter::target_announcement& value);
   /// The target says that it leaves for good.
   void farewell(const std::string& instance);
+  /// An earlier process of this node has recorded that the target leaves.
+  void recalled(const adapter::leave_record& record);
   /// A health check answered for this identity before the first announcement.
   void identified(const std::string& instance);
-  /// @return true once an announcement, a health check or a farewell has named the target.
+  /// @return true once an announcement, a health check or a leave has named the target.
   bool known() const { return !identity_.instance().empty(); }
 
+  /// @return the leave of the target that is known, or nothing.
+  std::optional<adapter::leave_record> leave() const { return identity_.leave(); }
+
   /// Runs the call or queues it. The completion comes exactly once unless the call is cancelled,
   /// possibly before this returns.
   call_id submit(upstream_call call, completion done);
--- a/tests/adapter/adapter_test.cpp
+++ b/tests/adapter/adapter_test.cpp
@@ -172,6 +172,15 @@
   CHECK_FALSE(adapter::parse_node_record("n1", "7"));
 }
 
+TEST_CASE("A leave is the same after a round through the store, and others are not read as one") {
+  const adapter::leave_record record{"i-1", 1'700'000'000'000, 1'700'000'000'500};
+  CHECK(adapter::parse_leave_record(adapter::to_json(record)) == record);
+  CHECK_FALSE(adapter::parse_leave_record("{}"));
+  CHECK_FALSE(adapter::parse_leave_record(R"({"instance":"","started":1,"left":2})"));
+  CHECK_FALSE(adapter::parse_leave_record(R"({"instance":"i-1","started":-1,"left":2})"));
+  CHECK_FALSE(adapter::parse_leave_record(R"({"instance":"i-1","started":1})"));
+}
+
 TEST_CASE("Calls to the store have the platform's form") {
   CHECK(adapter::list_objects("config", "", adapter::read_freshness::current).target ==
         "/objects/config");
--- a/tests/sidecar/agent_test.cpp
+++ b/tests/sidecar/agent_test.cpp
@@ -34,7 +34,10 @@
     settings.grace = seconds(3);
     target.on_request = [this](sidecar::request_handle from, const http::request& it) {
       if (it.target == "/up") {
-        target.respond(from, "HTTP/1.1 200 OK\r\nX-Instance-Id: i-" + settings.name + "\r\n", "");
+        target.respond(from,
+                       std::string(healthy ? "HTTP/1.1 200 OK" : "HTTP/1.1 503 Leaving") +
+                           "\r\nX-Instance-Id: i-" + settings.name + "\r\n",
+                       "");
       } else {
         served.push_back(it);
         target.answer(from, it, 200, settings.name);
@@ -47,6 +50,10 @@
     started = static_cast<bool>(node->start());
   }
   void kill() { node.reset(); }
+  void restart() {
+    kill();
+    start();
+  }
 
   event::loop& loop;
   std::uint16_t base;
@@ -54,6 +61,8 @@
   sidecar::settings settings;
   std::unique_ptr<sidecar::agent> node;
   bool started = false;
+  /// What the target answers to health checks.
+  bool healthy = true;
   /// Requests that the target ran, but for health checks.
   std::vector<http::request> served;
 };
@@ -124,16 +133,31 @@
     return reader.state() == http::read_state::complete ? reader.message() : http::response{};
   }
   int ready(std::size_t at) { return call(at, "GET", "/ready", "", 1).status; }
-  int announce(std::size_t at, const std::string& state, std::uint64_t sequence) {
+  int announce(std::size_t at, const std::string& state, std::uint64_t sequence,
+               std::int64_t born = 5) {
     const json body{{"address", to_string(vms[at]->target.address)},
-                    {"born", 5},
+                    {"born", born},
                     {"info", {{"service", vms[at]->settings.service}, {"slots", 4}}},
                     {"status", {{"state", state}, {"sequence", sequence}}}};
     return call(at, "POST", "/instances/i-" + vms[at]->settings.name + "/heartbeat", "", 2,
                 body.dump())
         .status;
   }
+  int farewell(std::size_t at) {
+    return call(at, "POST", "/instances/i-" + vms[at]->settings.name + "/deregister", "", 2).status;
+  }
   std::size_t served(std::size_t at) const { return vms[at]->served.size(); }
+  /// Sends requests through the first VM until the target of another one gets one.
+  /// @return false if it gets none in this time.
+  bool used_within(std::size_t at, milliseconds time) {
+    const std::size_t before = served(at);
+    const auto end = loop.refresh_now() + time;
+    while (served(at) == before && loop.now() < end) {
+      call(0, "GET", "/read/x");
+      loop.run_once(milliseconds(5));
+    }
+    return served(at) != before;
+  }
 
   event::loop loop;
   test::store_stand_in store{loop, {"127.0.0.1", store_port}};
@@ -346,6 +370,74 @@
   CHECK(served(2) == before);
 }
 
+// Guards against a leave that is forgotten with the process that acknowledged it.
+TEST_CASE_FIXTURE(fleet_fixture,
+                  "A target that has left is not used again after its node restarts") {
+  configure();
+  REQUIRE(settle());
+  bool recorded_later = false;
+  std::int64_t born = 5;
+  SUBCASE("after a farewell") {
+    REQUIRE(announce(2, "ready", 1) == 200);
+    REQUIRE(farewell(2) == 200);
+  }
+  SUBCASE("after a farewell of a target that a health check has named") {
+    REQUIRE(farewell(2) == 200);
+  }
+  SUBCASE("after an announcement") {
+    REQUIRE(announce(2, "draining", 1) == 200);
+  }
+  SUBCASE("after a farewell when an earlier start has left, too") {
+    REQUIRE(farewell(2) == 200);
+    born = unix_now() + 5'000;
+    REQUIRE(announce(2, "ready", 1, born) == 200);
+    REQUIRE(farewell(2) == 200);
+  }
+  SUBCASE("when the store's answer to the record was lost") {
+    store.lose_write_answers = true;
+    REQUIRE(farewell(2) == 200);
+  }
+  SUBCASE("when the store was down as it left") {
+    store.down = true;
+    const auto asked = loop.refresh_now();
+    REQUIRE(farewell(2) == 200);
+    CHECK(loop.refresh_now() - asked < seconds(1));
+    store.down = false;
+    recorded_later = true;
+  }
+  SUBCASE("when the store has lost the record") {
+    store.save();
+    REQUIRE(farewell(2) == 200);
+    store.restore();
+    recorded_later = true;
+  }
+  if (recorded_later) {
+    REQUIRE(test::run_until(loop, [&] { return store.count("damaskledge-leaves") == 1; }));
+  }
+  vms[2]->restart();
+  // The health check passes, and an announcement of the start that has left arrives late.
+  CHECK_FALSE(used_within(2, milliseconds(400)));
+  CHECK(announce(2, "ready", 9, born) == 200);
+  CHECK_FALSE(used_within(2, milliseconds(400)));
+  CHECK(announce(2, "ready", 1, unix_now() + 10'000) == 200);
+  CHECK(used_within(2, milliseconds(2'000)));
+}
+
+// Guards against a restarted node that believes a late announcement, or none, while the store is
+// down.
+TEST_CASE_FIXTURE(fleet_fixture, "A restarted node that cannot read the store asks its target") {
+  configure();
+  REQUIRE(settle());
+  REQUIRE(announce(2, "ready", 1) == 200);
+  vms[2]->healthy = false;
+  store.down = true;
+  vms[2]->restart();
+  CHECK(announce(2, "ready", 2) == 200);
+  CHECK_FALSE(used_within(2, milliseconds(1'500)));
+  vms[2]->healthy = true;
+  CHECK(used_within(2, milliseconds(2'000)));
+}
+
 TEST_CASE_FIXTURE(fleet_fixture,
                   "A malformed announcement gets a clear error and changes nothing") {
   configure();
--- a/tests/sidecar/store_stand_in.h
+++ b/tests/sidecar/store_stand_in.h
@@ -126,11 +126,18 @@
         loop_.after(milliseconds(parameter(it.target, "wait-ms")), [this, from] { expire(from); });
       }
     } else if (it.method == "GET") {
-      list(from, it.target, kind);
+      const bool named = path.size() > kind.size();
+      named ? read(from, kind, path.substr(kind.size() + 1)) : list(from, it.target, kind);
     } else {
       write(from, it, kind);
     }
   }
+  void read(sidecar::request_handle from, const std::string& kind, const std::string& name) {
+    const auto found = objects_.find({kind, name});
+    const bool exists = found != objects_.end();
+    reply(from, exists ? 200 : 404,
+          exists ? to_json(name, found->second) : nlohmann::json::object());
+  }
   void list(sidecar::request_handle from, const std::string& target, const std::string& kind) {
     const auto at = target.find("after=");
     const std::string after =
--- a/tests/sidecar/target_identity_test.cpp
+++ b/tests/sidecar/target_identity_test.cpp
@@ -27,6 +27,10 @@
     value.leaving = leaving;
     return identity.announced(at(now), value);
   }
+  /// @param began 0 if the record does not name the start.
+  void recall(int now, int began, int left, const std::string& instance = "i-1") {
+    identity.recalled(at(now), {instance, began == 0 ? 0 : wall_zero + began, wall_zero + left});
+  }
   void leave(int now, const std::string& instance = "i-1") { identity.leaves(at(now), instance); }
   bool usable() const { return !identity.instance().empty() && !identity.leaving(); }
 
@@ -171,6 +175,73 @@
        it.announce(5'000, 4'900 - 2'000, 1);
      },
      true},
+    {"recorded leave, late announcement of the same start",
+     [](history& it) {
+       it.recall(0, -9'000, -1'000);
+       it.announce(500, -9'000, 4);
+       it.announce(600, -9'000, 5);
+     },
+     false},
+    {"recorded leave of an unknown start, late announcement of it",
+     [](history& it) {
+       it.recall(0, 0, -1'000);
+       it.announce(500, -9'000, 4);
+     },
+     false},
+    {"recorded leave, health check",
+     [](history& it) {
+       it.recall(0, -9'000, -1'000);
+       it.identity.identified("i-1");
+     },
+     false},
+    {"health check, recorded leave",
+     [](history& it) {
+       it.identity.identified("i-1");
+       it.recall(500, -9'000, -1'000);
+     },
+     false},
+    {"late announcement, recorded leave",
+     [](history& it) {
+       it.announce(0, -9'000, 4);
+       it.recall(500, -9'000, -1'000);
+     },
+     false},
+    {"recorded leave, new start of the same instance",
+     [](history& it) {
+       it.recall(0, -9'000, -1'000);
+       it.announce(500, 200, 1);
+     },
+     true},
+    {"recorded leave of an unknown start, new start of the same instance",
+     [](history& it) {
+       it.recall(0, 0, -1'000);
+       it.announce(500, 200, 1);
+     },
+     true},
+    {"new start of the same instance, recorded leave of the earlier one",
+     [](history& it) {
+       it.announce(0, -200, 1);
+       it.recall(500, -9'000, -1'000);
+     },
+     true},
+    {"new start of the same instance, recorded leave of an unknown start",
+     [](history& it) {
+       it.announce(0, -200, 1);
+       it.recall(500, 0, -1'000);
+     },
+     true},
+    {"recorded leave, another target at the address",
+     [](history& it) {
+       it.recall(0, -9'000, -1'000);
+       it.announce(500, 200, 1, false, "i-2");
+     },
+     true},
+    {"another target at the address, recorded leave of the earlier one",
+     [](history& it) {
+       it.identity.identified("i-2");
+       it.recall(500, -9'000, -1'000);
+     },
+     true},
 };
 
 } // namespace
