--- a/tests/sidecar/agent_test.cpp
+++ b/tests/sidecar/agent_test.cpp
@@ -387,6 +387,17 @@
   SUBCASE("after an announcement") {
     REQUIRE(announce(2, "draining", 1) == 200);
   }
+  SUBCASE("after an answer that says so") {
+    const auto usual = vms[2]->target.on_request;
+    vms[2]->target.on_request = [&](sidecar::request_handle from, const http::request& it) {
+      vms[2]->served.push_back(it);
+      vms[2]->target.respond(
+          from, test::answer_head(*it.fields.find("X-Request-Id")) + "Server-Leaving: 1\r\n", "");
+    };
+    REQUIRE(used_within(2, milliseconds(2'000)));
+    vms[2]->target.on_request = usual;
+    recorded_later = true;
+  }
   SUBCASE("after a farewell when an earlier start has left, too") {
     REQUIRE(farewell(2) == 200);
     born = unix_now() + 5'000;
