Ask the target again if the store may lack its leave

Cause: "no record" was taken for "no leave". A store that did not answer the node at its start may not have taken the record of the process before either.

Change: if the store answers late and has no leave, an announcement alone does not bring the target into use. The health check must name the target, or a later announcement of the same start must follow, since a target that has left is silent.

Still open: a store that takes no record at the leave and answers the first read of the next process.

--- a/source/sidecar/agent.cpp
+++ b/source/sidecar/agent.cpp
@@ -207,7 +207,7 @@
                  .field("incarnation", static_cast<std::int64_t>(incarnation_ >> 1U)));
   configuration_mirror_->start();
   node_mirror_->start();
-  leaves_.load([this](const auto& record) { on_leave_loaded(record); });
+  leaves_.load([this](const auto& record, bool delayed) { on_leave_loaded(record, delayed); });
   timers_.after(identify_interval, [this] { identify_without_store(); });
   run_checks();
   end_load_interval();
@@ -268,7 +268,11 @@
 }
 
 void agent::accept_announcement(const adapter::target_announcement& value) {
-  if (leaves_.loaded() || target_->known() || value.leaving) {
+  const auto& held = held_announcement_;
+  // A target that has left is silent, so that a late announcement is not followed by another one.
+  const bool goes_on = leaves_.loaded() && held && held->instance == value.instance &&
+                       held->started == value.started && held->sequence < value.sequence;
+  if (!may_have_left() || target_->known() || value.leaving || goes_on) {
     target_->announced(value);
     return;
   }
@@ -299,7 +303,7 @@
   }
 }
 
-void agent::on_leave_loaded(const std::optional<adapter::leave_record>& record) {
+void agent::on_leave_loaded(const std::optional<adapter::leave_record>& record, bool delayed) {
   if (record) {
     log_.state(log_line("leave_recalled")
                    .field("instance", record->instance)
@@ -307,7 +311,8 @@
                    .field("left", record->left));
     target_->recalled(*record);
   }
-  if (held_announcement_) {
+  leave_may_be_missing_ = !record && delayed;
+  if (held_announcement_ && !may_have_left()) {
     target_->announced(*std::exchange(held_announcement_, std::nullopt));
   }
   identify_target();
@@ -353,7 +358,7 @@
 }
 
 void agent::identify_without_store() {
-  if (!leaves_.loaded() && !target_->known()) {
+  if (may_have_left() && !target_->known()) {
     identify_target();
     timers_.after(identify_interval, [this] { identify_without_store(); });
   }
--- a/source/sidecar/agent.h
+++ b/source/sidecar/agent.h
@@ -60,7 +60,7 @@
   void acknowledge_announcement(request_handle from);
   /// Has the leave of the target recorded, if it leaves.
   void record_leave();
-  void on_leave_loaded(const std::optional<adapter::leave_record>& record);
+  void on_leave_loaded(const std::optional<adapter::leave_record>& record, bool delayed);
   void on_ready(request_handle from);
   void on_metrics(request_handle from);
   void apply_configuration(const std::string& text, const std::string& source);
@@ -70,6 +70,8 @@
   void identify_target();
   /// Asks the target itself while the store cannot tell whether it has left.
   void identify_without_store();
+  /// @return true if an announcement alone does not show that the target may be used.
+  bool may_have_left() const { return !leaves_.loaded() || leave_may_be_missing_; }
   void send_status();
   /// Takes the usage to report; the load must reach the near nodes and the next digest.
   fleet::load_frame make_load();
@@ -126,7 +128,9 @@
   store_channel writer_;
   store_channel health_;
   leave_records leaves_;
-  /// The latest announcement that came before the record of leaves was read.
+  /// The store has no leave of the target, but may lack one.
+  bool leave_may_be_missing_ = false;
+  /// The latest announcement of a target that may have left.
   std::optional<adapter::target_announcement> held_announcement_;
   std::shared_ptr<const traffic::configuration> configuration_;
   /// Source text of the configuration in force, sent to nodes that cannot reach the store.
--- a/source/sidecar/leave_records.cpp
+++ b/source/sidecar/leave_records.cpp
@@ -80,6 +80,7 @@
     return;
   }
   counters_.store_call("leave_read");
+  const bool delayed = failing_;
   call_succeeded();
   read_needed_ = false;
   object_ = std::move(object);
@@ -91,7 +92,7 @@
     if (!record_) {
       record_ = found;
     }
-    on_loaded_(found);
+    on_loaded_(found, delayed);
   }
   proceed();
 }
--- a/source/sidecar/leave_records.h
+++ b/source/sidecar/leave_records.h
@@ -20,7 +20,10 @@
 class leave_records {
  public:
   /// @param record the leave that an earlier process of this node has recorded, or nothing.
-  using loaded_callback = std::function<void(const std::optional<adapter::leave_record>& record)>;
+  /// @param delayed the store did not answer at once, so it may not have answered the earlier
+  /// process either, and may lack a leave that was acknowledged.
+  using loaded_callback =
+      std::function<void(const std::optional<adapter::leave_record>& record, bool delayed)>;
 
   /// @param node name of this node and of its object in the store.
   leave_records(event::loop& loop, const endpoint& store, std::string node, event_log& log,
--- a/tests/sidecar/agent_test.cpp
+++ b/tests/sidecar/agent_test.cpp
@@ -449,6 +449,31 @@
   CHECK(used_within(2, milliseconds(2'000)));
 }
 
+// Guards against a late announcement that is believed since the store lacks the leave.
+TEST_CASE_FIXTURE(fleet_fixture,
+                  "A leave that could not be recorded is not undone by a late announcement") {
+  configure();
+  REQUIRE(settle());
+  REQUIRE(announce(2, "ready", 1) == 200);
+  store.down = true;
+  REQUIRE(farewell(2) == 200);
+  vms[2]->healthy = false;
+  vms[2]->restart();
+  CHECK(announce(2, "ready", 1) == 200);
+  CHECK_FALSE(used_within(2, milliseconds(300)));
+  store.down = false;
+  CHECK_FALSE(used_within(2, milliseconds(1'200)));
+  CHECK(announce(2, "ready", 1) == 200);
+  CHECK_FALSE(used_within(2, milliseconds(1'200)));
+  SUBCASE("the health check passes again") {
+    vms[2]->healthy = true;
+  }
+  SUBCASE("the announcements go on") {
+    CHECK(announce(2, "ready", 2) == 200);
+  }
+  CHECK(used_within(2, milliseconds(2'000)));
+}
+
 TEST_CASE_FIXTURE(fleet_fixture,
                   "A malformed announcement gets a clear error and changes nothing") {
   configure();
