Play late announcements after silent leaves in the soak

Change: every second start leaves by a farewell and is silent; the last announcement from before the leave arrives 0.7 and 2.2 s after its acknowledgement; some nodes are killed 0.2 s after it.

--- a/tests/soak/vm.cpp
+++ b/tests/soak/vm.cpp
@@ -1,6 +1,8 @@
 #include "soak/vm.h"
 
 #include <algorithm>
+#include <array>
+#include <functional>
 
 #include <nlohmann/json.hpp>
 
@@ -13,6 +15,10 @@
 constexpr std::uint16_t ports_per_vm = 10;
 constexpr milliseconds announce_interval{500};
 constexpr milliseconds watch_interval{50};
+/// Announcements from before a leave arrive this long after its acknowledgement.
+constexpr std::array<milliseconds, 2> late_announcements{milliseconds(700), milliseconds(2'200)};
+/// After some leaves the node is killed this long after it has acknowledged them.
+constexpr milliseconds kill_after_leave{200};
 /// The platform starts an ended process again after this time.
 constexpr milliseconds restart_pause{300};
 /// Mean time for which a run holds a slot.
@@ -168,6 +174,8 @@
   born_ = unix_now();
   sequence_ = 0;
   leaving_ = false;
+  leaves_silently_ = starts_ % 2 != 0;
+  last_ready_ = {};
   leaving_acknowledged_.reset();
   leaving_answered_.reset();
   limit_.reset();
@@ -233,18 +241,22 @@
 
 void vm::announce() {
   all_.loop.after(announce_interval, [this] { announce(); });
-  if (!target_ || (announcer_ && announcer_->busy())) {
+  const bool farewell = leaving_ && leaves_silently_;
+  if (!target_ || (announcer_ && announcer_->busy()) || (farewell && leaving_acknowledged_)) {
     return;
   }
   http::request call;
   call.method = "POST";
-  call.target = "/instances/" + instance_ + "/heartbeat";
+  call.target = "/instances/" + instance_ + (farewell ? "/deregister" : "/heartbeat");
   call.body =
       json{{"address", text_of(at(6))},
            {"born", born_},
            {"info", {{"service", service_}, {"slots", target_slots}}},
            {"status", {{"state", leaving_ ? "draining" : "ready"}, {"sequence", ++sequence_}}}}
           .dump();
+  if (!leaving_) {
+    last_ready_ = call;
+  }
   announcer_ = std::make_unique<sidecar::store_channel>(all_.loop, at(2));
   announcer_->call(std::move(call), milliseconds(1'000),
                    [this, instance = instance_, leaving = leaving_](sidecar::store_answer answer) {
@@ -252,16 +264,36 @@
                          leaving_acknowledged_) {
                        return;
                      }
-                     leaving_acknowledged_ = all_.loop.now();
-                     // It goes on serving for a while after it may get nothing new.
-                     all_.loop.after(drain_limit * 2, [this, instance] {
-                       if (instance == instance_) {
-                         crash_target(milliseconds(500));
-                       }
-                     });
+                     leave_acknowledged();
                    });
 }
 
+void vm::leave_acknowledged() {
+  leaving_acknowledged_ = all_.loop.now();
+  const auto unless_replaced = [this](milliseconds delay, const std::function<void()>& task) {
+    all_.loop.after(delay, [this, instance = instance_, task] {
+      if (instance == instance_) {
+        task();
+      }
+    });
+  };
+  if ((starts_ + number_) % 2 == 0) {
+    unless_replaced(kill_after_leave, [this] { kill(); });
+  }
+  for (const milliseconds it : late_announcements) {
+    unless_replaced(it, [this] { announce_late(); });
+  }
+  // It goes on serving for a while after it may get nothing new.
+  unless_replaced(drain_limit * 2, [this] { crash_target(milliseconds(500)); });
+}
+
+void vm::announce_late() {
+  if (!last_ready_.target.empty() && !(late_announcer_ && late_announcer_->busy())) {
+    late_announcer_ = std::make_unique<sidecar::store_channel>(all_.loop, at(2));
+    late_announcer_->call(last_ready_, milliseconds(1'000), [](const sidecar::store_answer&) {});
+  }
+}
+
 void vm::answer(sidecar::request_handle to, const std::string& id, int status) {
   if (!target_ || running_.erase(to) == 0) {
     return;
--- a/tests/soak/vm.h
+++ b/tests/soak/vm.h
@@ -78,6 +78,10 @@
   void watch_node();
   void start_target();
   void announce();
+  /// The target may get nothing new from some time after this on.
+  void leave_acknowledged();
+  /// An announcement from before the leave arrives now.
+  void announce_late();
   void on_request(sidecar::request_handle from, http::request& it);
   void run(sidecar::request_handle from, const std::string& id, bool calls);
   void call_below(sidecar::request_handle from, const std::string& id);
@@ -101,6 +105,11 @@
   std::uint64_t starts_ = 0;
   std::uint64_t sequence_ = 0;
   bool leaving_ = false;
+  /// The target leaves by a farewell and is silent afterwards, in place of announcing it.
+  bool leaves_silently_ = false;
+  /// Last announcement of this start that did not say that it leaves.
+  http::request last_ready_;
+  std::unique_ptr<sidecar::store_channel> late_announcer_;
   std::optional<time_point> leaving_acknowledged_;
   /// When an answer has said first that the target leaves.
   std::optional<time_point> leaving_answered_;
