--- a/review/stand_ins_2/rig.h
+++ b/review/stand_ins_2/rig.h
@@ -384,12 +384,18 @@
 class store {
  public:
   store(const std::string& ip, int port)
-      : server_(std::make_unique<server>(ip, port, [this](connection& c) { work(c); })) {}
+      : server_(std::make_unique<server>(ip, port, [this](connection& c) { work(c, nullptr); })) {}
   ~store() {
     stopping_ = true;
     changed_.notify_all();
+    doors_.clear();
     server_.reset();
   }
+  /// A further address of the same store, for the machines that it turns away while `busy` is set.
+  void open_door(const std::string& ip, int port, const std::atomic<bool>& busy) {
+    doors_.push_back(
+        std::make_unique<server>(ip, port, [this, &busy](connection& c) { work(c, &busy); }));
+  }
   /// What the operator does.
   void put(const std::string& kind, const std::string& name, const json& spec) {
     const std::lock_guard guard(mutex_);
@@ -429,12 +435,16 @@
                        " X\r\nContent-Type: application/json\r\nContent-Length: " +
                        std::to_string(text.size()) + "\r\n\r\n" + text);
   }
-  void work(connection& c) {
+  void work(connection& c, const std::atomic<bool>* busy) {
     while (const auto h = c.read_head(3600)) {
       std::string body;
       if (!c.read_body(length_of(*h), body, 10)) {
         return;
       }
+      if (busy != nullptr && *busy) {
+        reply(c, 503, json::object());
+        continue;
+      }
       call(c, h->word(0), h->word(1), body);
     }
   }
@@ -536,6 +546,7 @@
   std::map<std::string, std::map<std::string, json>> objects_;
   std::vector<event> history_;
   std::unique_ptr<server> server_;
+  std::vector<std::unique_ptr<server>> doors_;
 };
 
 // ---- machines ------------------------------------------------------------------------------------
