--- a/review/stand_ins_2/lost_leave.cpp
+++ b/review/stand_ins_2/lost_leave.cpp
@@ -51,11 +51,13 @@
     platform.open_door(door_ip, 8545, busy);
     const machine a{"sidecar-a-1", here.prefix + "2", "zone-a", "depot"};
     const machine b{"sidecar-b-1", here.prefix + "3", "zone-b", "depot"};
+    const machine third{"sidecar-c-1", here.prefix + "5", "zone-c", "depot"};
     platform.put("config", "main",
                  configuration("00000003", {"depot"},
                                json::array({route("r-1", "unsafe", "/deposit/", "depot", 3000, 2)})));
     const std::string leaver = "i-" + new_id();
     const std::string stayer = "i-" + new_id();
+    const std::string other_stayer = "i-" + new_id();
     std::mutex mutex;
     std::map<std::string, double> at_leaver;
     std::atomic<bool> leaving{false};
@@ -75,7 +77,8 @@
           return;
         }
         const std::string id = h->field("x-request-id");
-        record.line("target of %s runs %s", is_leaver ? "A" : "B", id.c_str());
+        record.line("target of %s runs %s",
+                    is_leaver ? "A" : instance == stayer ? "B" : "C", id.c_str());
         if (is_leaver) {
           const std::lock_guard guard(mutex);
           at_leaver[id] = now_s();
@@ -90,13 +93,19 @@
     auto target_a = std::make_unique<server>(
         a.ip, a.app, [&](connection& c) { serve(c, leaver, true); });
     server target_b(b.ip, b.app, [&](connection& c) { serve(c, stayer, false); });
+    server target_c(third.ip, third.app,
+                    [&](connection& c) { serve(c, other_stayer, false); });
     node node_a(a, door_ip + ":8545", here.folder);
     node node_b(b, store_ip + ":8545", here.folder);
+    node node_c(third, store_ip + ":8545", here.folder);
     node_a.start();
     node_b.start();
+    node_c.start();
     heartbeats beats_b(b, stayer, 68);
+    heartbeats beats_c(third, other_stayer, 68);
     const long long born = unix_ms();
-    if (!node_a.await_ready(10) || !node_b.await_ready(10)) {
+    if (!node_a.await_ready(10) || !node_b.await_ready(10) ||
+        !node_c.await_ready(10)) {
       cannot_run("the nodes are not ready");
     }
     tell(a, heartbeat(a, leaver, born, 1));
--- a/review/stand_ins_2/rig.h
+++ b/review/stand_ins_2/rig.h
@@ -825,7 +825,7 @@
     }
   }
   static bool is_free(const std::string& candidate) {
-    for (const int last : {1, 2, 3, 4}) {
+    for (const int last : {1, 2, 3, 4, 5}) {
       for (const int port : {7000, 7001, 8540, 8545, 8546, 8547, 8548}) {
         const int fd = listen_on(candidate + std::to_string(last), port);
         if (fd < 0) {
