Do not take an answer without a length as whole when an upload is reset

Cause: the end of the connection is the end of such a body, and a reset was read as an orderly end, in two ways. A failed write takes the error off the socket and was ignored, so that the next read returned 0 (traced: sendto ECONNRESET, recvfrom 1612, recvfrom 0). And a socket that is closed between two arrivals of the upload ends its direction first; the reset comes when the next bytes reach it (traced: sendto EPIPE, recvfrom 1612, recvfrom 0).

Change: a stream remembers a failed write and reports the end as a reset. On connections to targets, an end that is read while bytes of the request are unacknowledged is reported once the peer acknowledges further bytes, which a closed socket does not, or after 100 ms without a reset. Connections of callers and links report each end at once, as before. A connection whose peer has ended gets no next request.

Evidence: on the code before, "a part of an answer without a length is not whole after a reset in an upload" fails in both forms (answered instead of unknown, with the part as the body), and "a stream that is reset while bytes are unsent does not report an orderly end" too (0 instead of 1). An orderly end beside an upload is passed on as before.

--- a/source/event/event.h
+++ b/source/event/event.h
@@ -142,6 +142,11 @@
   milliseconds silence_timeout{2'000};
   /// Reading pauses while this many bytes are unread.
   std::size_t read_limit = 256UL * 1024UL;
+  /// A peer that closes its socket while bytes are on the way to it ends the stream in order at
+  /// first, and resets it when these bytes arrive. While bytes are not acknowledged, an end is
+  /// reported when the peer acknowledges some of them, which a closed socket does not, or after
+  /// this time without a reset. Zero reports each end at once.
+  milliseconds reset_wait{0};
 };
 
 /// Callbacks of a stream. The owner may destroy the stream only through `loop::defer`.
@@ -192,6 +197,12 @@
   void finish_connect();
   void read_available();
   void write_available();
+  /// @return bytes that the peer has acknowledged since the start.
+  std::uint64_t acknowledged() const;
+  /// @return true after a reset, since the stream shuts its own direction only in `closing_`.
+  bool hung_up() const;
+  /// Reports the end of the stream later, unless the stream is reset before.
+  void await_reset();
   void update_interest();
   bool reading_paused() const { return !closing_ && input_.size() >= options_.read_limit; }
   void fail(close_reason reason);
@@ -204,6 +215,8 @@
   bool peer_ended_ = false;
   bool closing_ = false;
   bool write_shut_ = false;
+  /// The connection was reset, as a write or its state has shown.
+  bool reset_ = false;
   std::uint32_t interest_ = 0;
   std::string input_;
   std::string output_;
@@ -211,6 +224,10 @@
   std::uint64_t sent_ = 0;
   timer_id linger_timer_ = 0;
   timer_id failure_timer_ = 0;
+  /// Runs while the peer has ended its direction and may still reset the stream.
+  timer_id end_timer_ = 0;
+  time_point end_by_{};
+  std::uint64_t acknowledged_at_end_ = 0;
 };
 
 /// Accepts connections at one address.
--- a/source/event/stream.cpp
+++ b/source/event/stream.cpp
@@ -3,9 +3,12 @@
 #include <cstring>
 
 #include <arpa/inet.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/epoll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -23,6 +26,9 @@
 /// Pause between keep-alive probes; the silence timeout covers an idle second and two probes.
 constexpr int keepalive_idle_s = 1;
 
+/// Pause between looks whether the peer has acknowledged bytes.
+constexpr milliseconds acknowledgement_poll{1};
+
 /// Pause in accepting connections when the process has no descriptors left.
 constexpr milliseconds accept_pause{100};
 
@@ -115,6 +121,10 @@
     loop_.cancel(failure_timer_);
     failure_timer_ = 0;
   }
+  if (end_timer_ != 0) {
+    loop_.cancel(end_timer_);
+    end_timer_ = 0;
+  }
   if (fd_ < 0) {
     return;
   }
@@ -145,6 +155,13 @@
     finish_connect();
     return;
   }
+  if (end_timer_ != 0) {
+    write_available();
+    if (reset_ || hung_up()) {
+      fail(close_reason::reset);
+    }
+    return;
+  }
   // Set before the remaining input is handled, which may have waited for long.
   peer_ended_ = peer_ended_ || (events & EPOLLRDHUP) != 0;
   if (peer_ended_ && reading_paused()) {
@@ -205,14 +222,24 @@
     if (n < 0 && (errno == EAGAIN || errno == EINTR)) {
       break;
     }
-    const bool ended = n == 0;
+    const bool ended = n == 0 && !reset_;
     if (any && callbacks_.on_data) {
       // Bytes that arrived with the end of the stream are handled before it.
       peer_ended_ = true;
       callbacks_.on_data();
     }
-    if (fd_ >= 0) {
-      fail(ended ? close_reason::end_of_stream : close_reason::reset);
+    if (fd_ < 0) {
+      return;
+    }
+    if (!ended) {
+      fail(close_reason::reset);
+    } else if (options_.reset_wait > milliseconds(0) && acknowledged() < sent_ + unsent()) {
+      peer_ended_ = true;
+      end_by_ = loop_.now() + options_.reset_wait;
+      acknowledged_at_end_ = acknowledged();
+      await_reset();
+    } else {
+      fail(close_reason::end_of_stream);
     }
     return;
   }
@@ -224,6 +251,31 @@
   }
 }
 
+std::uint64_t stream::acknowledged() const {
+  int in_socket = 0;
+  ::ioctl(fd_, SIOCOUTQ, &in_socket);
+  return sent_ - static_cast<std::uint64_t>(in_socket);
+}
+
+bool stream::hung_up() const {
+  pollfd state{fd_, 0, 0};
+  return ::poll(&state, 1, 0) > 0 && (state.revents & (POLLHUP | POLLERR)) != 0;
+}
+
+void stream::await_reset() {
+  end_timer_ = loop_.after(acknowledgement_poll, [this] {
+    end_timer_ = 0;
+    if (hung_up()) {
+      fail(close_reason::reset);
+    } else if (loop_.now() >= end_by_ || acknowledged() > acknowledged_at_end_) {
+      fail(close_reason::end_of_stream);
+    } else {
+      await_reset();
+    }
+  });
+  update_interest();
+}
+
 void stream::write_available() {
   while (fd_ >= 0 && output_offset_ < output_.size()) {
     const ssize_t n =
@@ -232,7 +284,9 @@
       if (errno == EAGAIN || errno == EINTR) {
         break;
       }
-      // The read side reports the reset, after any bytes that arrived before it.
+      // The read side reports the reset, after any bytes that arrived before it. The failed write
+      // has taken the error off the socket, so that reading would show an orderly end.
+      reset_ = true;
       output_.clear();
       output_offset_ = 0;
       break;
@@ -260,9 +314,10 @@
 }
 
 void stream::update_interest() {
-  std::uint32_t wanted = EPOLLRDHUP;
-  if (!reading_paused()) {
-    wanted |= EPOLLIN;
+  std::uint32_t wanted = 0;
+  // The end that was read stays readable.
+  if (end_timer_ == 0) {
+    wanted = reading_paused() ? EPOLLRDHUP : EPOLLRDHUP | EPOLLIN;
   }
   if (output_offset_ < output_.size()) {
     wanted |= EPOLLOUT;
--- a/source/sidecar/upstream_executor.cpp
+++ b/source/sidecar/upstream_executor.cpp
@@ -25,6 +25,8 @@
 constexpr double warming_slot_use = 0.6;
 /// Smallest change of the limit that the target names, as a part of it, that is logged.
 constexpr double logged_limit_change = 0.1;
+/// A closed socket resets bytes that reach it within a round trip; the target is on the same VM.
+constexpr milliseconds target_reset_wait{100};
 const http::message_limits answer_limits{64UL * 1024UL, 32UL * 1024UL * 1024UL};
 
 } // namespace
@@ -256,7 +258,7 @@
   }
   while (!idle_.empty()) {
     connection& it = *connections_.at(idle_.back());
-    if (!it.stream->closed() && it.idle_until > loop_.now()) {
+    if (!it.stream->closed() && !it.stream->peer_ended() && it.idle_until > loop_.now()) {
       idle_.pop_back();
       send(it, std::move(call));
       return;
@@ -268,6 +270,7 @@
   fresh->id = id;
   event::stream_options options;
   options.silence_timeout = milliseconds(3'000);
+  options.reset_wait = target_reset_wait;
   fresh->stream = std::make_unique<event::stream>(loop_, options_.target, options);
   fresh->stream->handle({
       .on_connected = {},
--- a/tests/event/event_test.cpp
+++ b/tests/event/event_test.cpp
@@ -5,6 +5,7 @@
 
 #include <doctest/doctest.h>
 #include <sys/resource.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include "event/event.h"
@@ -77,6 +78,79 @@
   CHECK(order == "data:abc end");
 }
 
+namespace {
+
+/// A stream with an upload that the sockets do not take whole, and how it ended.
+struct uploading_stream {
+  /// @param accepted serves the peer's socket.
+  uploading_stream(std::uint16_t port, std::function<void(int fd)> accepted) {
+    listening = event::listener::open(loop, {"127.0.0.1", port}, std::move(accepted)).value();
+    event::stream_options options;
+    options.reset_wait = milliseconds(500);
+    sender = std::make_unique<event::stream>(loop, endpoint{"127.0.0.1", port}, options);
+    sender->handle({{}, {}, [this](event::close_reason it) { reason = it; }});
+    sender->send(std::string(12UL * 1024UL * 1024UL, 'u'));
+  }
+  event::close_reason end() {
+    REQUIRE(run_until(loop, [&] { return reason.has_value(); }));
+    CHECK(sender->input() == "abc");
+    return *reason;
+  }
+
+  event::loop loop;
+  std::unique_ptr<event::listener> listening;
+  std::unique_ptr<event::stream> sender;
+  /// For cases whose peer goes on reading.
+  std::unique_ptr<event::stream> peer;
+  std::optional<event::close_reason> reason;
+};
+
+/// Sends "abc" and ends this direction, without reading.
+void answer_and_end(int fd) {
+  ::send(fd, "abc", 3, MSG_NOSIGNAL);
+  ::shutdown(fd, SHUT_WR);
+}
+
+} // namespace
+
+TEST_CASE("A stream that is reset while bytes are unsent does not report an orderly end") {
+  uploading_stream it(17'426, [&](int fd) {
+    ::send(fd, "abc", 3, MSG_NOSIGNAL);
+    it.loop.after(milliseconds(20), [fd] { ::close(fd); });
+  });
+  CHECK(it.end() == event::close_reason::reset);
+}
+
+// Guards against a closed socket that ends the stream in order before unread bytes reach it.
+TEST_CASE("A stream that ends and is then reset by unread bytes does not report an orderly end") {
+  uploading_stream it(17'427, [&](int fd) {
+    answer_and_end(fd);
+    it.loop.after(milliseconds(20), [fd] { ::close(fd); });
+  });
+  CHECK(it.end() == event::close_reason::reset);
+}
+
+TEST_CASE("A peer that ends its direction and reads on has ended in order") {
+  uploading_stream it(17'428, [&](int fd) {
+    it.peer = std::make_unique<event::stream>(it.loop, fd, event::stream_options{});
+    it.peer->send("abc");
+    it.peer->close_after_send(seconds(5));
+  });
+  CHECK(it.end() == event::close_reason::end_of_stream);
+}
+
+TEST_CASE("The end of a peer that does not read on is not held back for long") {
+  int peer = -1;
+  uploading_stream it(17'429, [&](int fd) {
+    peer = fd;
+    answer_and_end(fd);
+  });
+  const auto began = it.loop.refresh_now();
+  CHECK(it.end() == event::close_reason::end_of_stream);
+  CHECK(it.loop.now() - began < milliseconds(1'500));
+  ::close(peer);
+}
+
 TEST_CASE("Addresses are parsed strictly") {
   CHECK(event::parse_endpoint("10.0.0.1:80") == endpoint{"10.0.0.1", 80});
   for (const char* it :
--- a/tests/sidecar/executor_test.cpp
+++ b/tests/sidecar/executor_test.cpp
@@ -1,6 +1,8 @@
 #include <algorithm>
 
 #include <doctest/doctest.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "sidecar/http_service.h"
 #include "sidecar/upstream_executor.h"
@@ -361,6 +363,55 @@
   CHECK(executor->answer_bytes() == 0);
 }
 
+namespace {
+
+/// A call whose upload the sockets do not take whole.
+sidecar::upstream_call long_upload(executor_fixture& it, const std::string& id) {
+  auto value = it.call(id, false);
+  value.head.replace(0, 3, "POST");
+  value.body.assign(12UL * 1024UL * 1024UL, 'u');
+  return value;
+}
+
+} // namespace
+
+TEST_CASE_FIXTURE(executor_fixture,
+                  "A part of an answer without a length is not whole after a reset in an upload") {
+  bool end_first = false;
+  SUBCASE("reset at once") {}
+  SUBCASE("reset by bytes that the target does not read") {
+    end_first = true;
+  }
+  target.stop();
+  const std::string part = test::answer_head("a") + "\r\npart of the body";
+  const auto listening = event::listener::open(loop, target.address, [&](int fd) {
+    ::send(fd, part.data(), part.size(), MSG_NOSIGNAL);
+    if (end_first) {
+      ::shutdown(fd, SHUT_WR);
+    }
+    loop.after(milliseconds(end_first ? 20 : 0), [fd] { ::close(fd); });
+  });
+  REQUIRE(listening);
+  submit(long_upload(*this, "a"));
+  REQUIRE(answered(1));
+  CHECK(result(0) == call_result::unknown);
+  CHECK(answers[0].body.empty());
+}
+
+TEST_CASE_FIXTURE(executor_fixture,
+                  "An answer without a length that ends in order is whole beside an upload") {
+  target.on_raw = [](event::stream& connection) {
+    connection.input().clear();
+    connection.send(test::answer_head("a") + "\r\nwhole");
+    connection.close_after_send(milliseconds(500));
+  };
+  target.use_raw();
+  submit(long_upload(*this, "a"));
+  REQUIRE(answered(1));
+  CHECK(result(0) == call_result::answered);
+  CHECK(answers[0].body == "whole");
+}
+
 TEST_CASE_FIXTURE(executor_fixture, "Bodies without end on all connections keep to one limit") {
   constexpr std::size_t connections = 30;
   constexpr std::size_t limit = 8UL * 1024UL * 1024UL;
