--- a/source/http/readers.cpp
+++ b/source/http/readers.cpp
@@ -41,6 +41,19 @@
                       std::string(detail::trim(line.substr(colon + 1)))};
 }
 
+/// @return true for "HTTP/1.", a digit, a space, three digits and an optional reason. Poco's parser
+/// takes other versions and any white space.
+bool is_status_line(std::string_view line) {
+  constexpr std::string_view digits_as_zeros = "HTTP/1.0 000";
+  const std::size_t n = digits_as_zeros.size();
+  if (line.size() < n || (line.size() > n && line[n] != ' ')) {
+    return false;
+  }
+  return std::equal(
+      digits_as_zeros.begin(), digits_as_zeros.end(), line.begin(),
+      [](char wanted, char it) { return wanted == '0' ? it >= '0' && it <= '9' : it == wanted; });
+}
+
 /// Removes the first line, with its end, from `block`.
 /// @return the line without its end; nothing if no line ends in `block`.
 std::optional<std::string_view> take_line(std::string_view& block) {
@@ -368,6 +381,9 @@
 }
 
 bool response_reader::parse_head(std::string_view block) {
+  if (!is_status_line(block.substr(0, block.find("\r\n")))) {
+    return false;
+  }
   const auto head = parse_block<Poco::Net::HTTPResponse>(block);
   if (!head) {
     return false;
@@ -375,7 +391,7 @@
   const auto& parsed = head->message;
   const auto& framing = head->framing;
   const int status = parsed.getStatus();
-  if (status < 100 || status > 599 || parsed.getVersion().rfind("HTTP/1.", 0) != 0) {
+  if (status < 100 || status > 599) {
     return false;
   }
   message_.status = status;
--- a/tests/http/readers_test.cpp
+++ b/tests/http/readers_test.cpp
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include "http/http.h"
+#include "http/raw_server.h"
 
 using namespace damaskledge;
 
@@ -149,6 +150,15 @@
   CHECK(reader.end_of_stream() == http::read_state::failed);
 }
 
+TEST_CASE("Answers that two parsers could read differently are refused") {
+  for (std::string it : test::malformed_answers()) {
+    CAPTURE(it);
+    http::response_reader reader{http::message_limits{}};
+    reader.start(false);
+    CHECK(reader.feed(it) == http::read_state::failed);
+  }
+}
+
 TEST_CASE("Interim answers are skipped and answers without a body end with their head") {
   http::response_reader reader{http::message_limits{}};
   reader.start(false);
--- a/tests/sidecar/executor_test.cpp
+++ b/tests/sidecar/executor_test.cpp
@@ -93,6 +93,32 @@
   CHECK(result(0) == call_result::unknown);
 }
 
+TEST_CASE_FIXTURE(executor_fixture, "An answer with a malformed head is never passed on") {
+  const std::string bad[] = {
+      "HTTP/1.1 000 Trouble\r\n",
+      "HTTP/1.1 200 OK\r\nX Other: 1\r\n",
+      "HTTP/1.1 200 OK\r\nX-Other : 1\r\n",
+      "HTTP/1.1 200 OK\r\n\rX-Other: 1\r\n",
+      "HTTP/1.1 200 OK\r\nX\x01Other: 1\r\n",
+  };
+  std::string start;
+  target.on_raw = [&](event::stream& connection) {
+    connection.input().clear();
+    const std::string rest = test::answer_text("a", "seen");
+    connection.send(start + rest.substr(rest.find("\r\n") + 2));
+  };
+  target.use_raw();
+  for (const auto& it : bad) {
+    CAPTURE(it);
+    start = it;
+    submit(call("a"));
+    REQUIRE(answered(answers.size() + 1));
+    CHECK(result(answers.size() - 1) == call_result::unknown);
+    CHECK(answers.back().head.empty());
+    CHECK(answers.back().body.empty());
+  }
+}
+
 TEST_CASE_FIXTURE(executor_fixture, "A late second answer is not given to the next request") {
   int n = 0;
   target.on_raw = [&](event::stream& connection) {
