Read upstreams' answers in damaskledge-node with the strict reader

Callers of damaskledge-node got broken answers of upstreams: one with status 000 (as "HTTP/1.1 0", without a usable head), answers whose head had a blank or a control byte in a field's name, and parts of bodies in chunks as whole ones. Answers with 101 or 103 and Content-Length: 0 were passed on as final.

Cause: answers were read with Poco's HTTPClientSession. It takes any three digits as a status, ignores lines without a colon, ends the head at a line that begins with CR, takes the first of two lengths, and takes anything that is no chunk size for the last chunk. Its streams swallow exceptions, so that a reset or the deadline in the middle of a chunked body looked like its end. Fields were checked after parsing, values only.

Change: http::client_connection reads with the same response_reader as the node of the users' platform. Only whole answers that can be read in one way are used; bodies without a length are refused as before, and so are encoded words that hold control characters. Interim answers are skipped. Field values are passed on as they arrived. A failure in the body is "answer-truncated", in the head "upstream-failed", both with outcome unknown; a body that stops until the deadline is "deadline-exceeded".

--- a/source/http/http.h
+++ b/source/http/http.h
@@ -3,6 +3,7 @@
 ///
 /// Poco's HTTPRequest and HTTPResponse parse a complete header block; the readers here delimit the
 /// block and the body without blocking, and reject what two parsers could frame differently.
+/// Programs with a thread for each call read answers with the same readers (`client_connection`).
 /// Source: RFC 9112.
 #pragma once
 
@@ -13,6 +14,8 @@
 #include <string_view>
 #include <vector>
 
+#include <Poco/Net/StreamSocket.h>
+
 #include "common/common.h"
 
 namespace damaskledge::http {
@@ -141,22 +144,94 @@
   /// The connection has ended in order. Completes a body that is delimited by it.
   read_state end_of_stream();
   read_state state() const { return state_; }
+  /// Valid in state `failed`.
+  read_error error() const { return error_; }
   response& message() { return message_; }
   /// The body is delimited by the end of the connection.
   bool until_close() const { return body_.kind() == detail::framing::until_close; }
 
  private:
-  read_state fail();
+  read_state fail(read_error error);
   bool parse_head(std::string_view block);
 
   message_limits limits_;
   bool head_request_ = false;
   int interim_answers_ = 0;
   read_state state_ = read_state::idle;
+  read_error error_ = read_error::malformed;
   response message_;
   detail::body_decoder body_;
 };
 
+/// A request to send; the body stays with its owner.
+struct outgoing_request {
+  std::string method;
+  /// Path and query.
+  std::string target;
+  header_fields fields;
+  std::string_view body;
+};
+
+/// Why an answer can't be used.
+struct receive_failure {
+  read_error why = read_error::incomplete;
+  /// The head was valid, so the failure is in the body.
+  bool in_body = false;
+
+  bool operator==(const receive_failure&) const = default;
+};
+
+/// @return text for errors and logs.
+std::string to_string(const receive_failure& value);
+
+/// One connection to a server, for threads that wait for their answers.
+///
+/// Poco's HTTPClientSession is not used, since it accepts malformed heads as answers and takes the
+/// end of a broken chunked body for its last chunk.
+class client_connection {
+ public:
+  client_connection(Poco::Net::StreamSocket socket, message_limits limits);
+
+  /// Sends a request, with Content-Length where the method may have a body. If the connection
+  /// breaks meanwhile, an answer may have arrived before, so that is told by `receive`.
+  /// @throws Poco::TimeoutException at the deadline.
+  void send(const outgoing_request& value, time_point deadline);
+  /// Receives the final answer to the request that was sent last.
+  /// @return nothing when `message` is the whole answer. After a failure in the body its head is
+  /// valid.
+  /// @throws Poco::TimeoutException at the deadline.
+  std::optional<receive_failure> receive(time_point deadline);
+  response& message() { return reader_.message(); }
+  /// The body of the answer was delimited by an orderly end of the connection.
+  bool until_close() const { return reader_.until_close(); }
+  /// The answer was whole, and the connection can take another request.
+  bool reusable() const { return reusable_; }
+  /// Bytes of the last request may have been sent.
+  bool sent() const { return sent_; }
+  /// The server has closed the idle connection or sent bytes that belong to no request.
+  bool stale() const;
+  Poco::Net::StreamSocket& socket() { return socket_; }
+
+ private:
+  /// @return false at the end of the connection, orderly or not.
+  bool receive_some(time_point deadline);
+  receive_failure failure(read_error why);
+
+  Poco::Net::StreamSocket socket_;
+  response_reader reader_;
+  std::string input_;
+  bool sent_ = false;
+  /// The connection has ended or broken, or its bytes can't be told apart any more.
+  bool broken_ = false;
+  bool reusable_ = false;
+};
+
+/// Makes one request on a connection of its own.
+/// @param limits of the answer.
+/// @return the answer, or nothing with the reason in `error`.
+std::optional<response> fetch(const endpoint& server, outgoing_request value, milliseconds timeout,
+                              message_limits limits, std::string& error);
+
 /// Removes the fields that concern only one connection, and those named by `Connection`.
 /// Source: RFC 9110 section 7.6.1.
 void remove_connection_fields(header_fields& fields);
--- a/source/http/readers.cpp
+++ b/source/http/readers.cpp
@@ -327,7 +327,8 @@
   return true;
 }
 
-read_state response_reader::fail() {
+read_state response_reader::fail(read_error error) {
+  error_ = error;
   state_ = read_state::failed;
   return state_;
 }
@@ -348,7 +349,7 @@
     state_ = read_state::head;
     const auto end = head_end(input);
     if (std::min(end, input.size()) > limits_.head_bytes) {
-      return fail();
+      return fail(read_error::head_too_large);
     }
     if (end == std::string::npos) {
       return state_;
@@ -357,16 +358,17 @@
     input.erase(0, end);
     message_ = {};
     if (!parse_head(block)) {
-      return fail();
+      return fail(read_error::malformed);
     }
     const bool interim = message_.status >= 100 && message_.status < 200;
     if (interim && ++interim_answers_ > max_interim_answers) {
-      return fail();
+      return fail(read_error::malformed);
     }
     state_ = interim ? read_state::idle : read_state::body;
   }
   if (state_ == read_state::body) {
     state_ = body_.feed(input, message_.body);
+    error_ = body_.error();
   }
   return state_;
 }
@@ -375,7 +377,7 @@
   if (state_ == read_state::body && until_close()) {
     state_ = read_state::complete;
   } else if (state_ != read_state::complete) {
-    state_ = read_state::failed;
+    return fail(read_error::incomplete);
   }
   return state_;
 }
--- a/source/node/upstream_client.cpp
+++ b/source/node/upstream_client.cpp
@@ -6,12 +6,10 @@
 #include <thread>
 
 #include <Poco/Exception.h>
-#include <Poco/Net/HTTPMessage.h>
-#include <Poco/Net/HTTPRequest.h>
-#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/MessageHeader.h>
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/SocketAddress.h>
-#include <Poco/Net/StreamSocketImpl.h>
+#include <Poco/Net/StreamSocket.h>
 #include <Poco/Timespan.h>
 #include <glog/logging.h>
 #include <poll.h>
@@ -29,35 +27,6 @@
 constexpr milliseconds max_connect_time{500};
 constexpr milliseconds cancel_check{50};
 
-/// Socket that records what went over it, which POCO's sessions do not tell.
-class recording_socket : public Poco::Net::StreamSocketImpl {
- public:
-  explicit recording_socket(Poco::Net::SocketAddress::Family family) : StreamSocketImpl(family) {}
-
-  int sendBytes(const void* buffer, int length, int flags) override { // NOLINT
-    // A send that fails may have handed bytes over, so it counts as begun.
-    sent_ = true;
-    return StreamSocketImpl::sendBytes(buffer, length, flags);
-  }
-  int receiveBytes(void* buffer, int length, int flags) override { // NOLINT
-    const int n = StreamSocketImpl::receiveBytes(buffer, length, flags);
-    ended_ = ended_ || n == 0;
-    return n;
-  }
-
-  void start_request() {
-    sent_ = false;
-    ended_ = false;
-  }
-  bool sent() const { return sent_; }
-  /// True when the peer's end of the connection was reached while reading.
-  bool ended() const { return ended_; }
-
- private:
-  bool sent_ = false;
-  bool ended_ = false;
-};
-
 Poco::Timespan to_timespan(duration value) {
   const auto us = std::chrono::duration_cast<std::chrono::microseconds>(value).count();
   return Poco::Timespan(std::max<Poco::Timespan::TimeDiff>(us, 1));
@@ -95,50 +64,33 @@
   }
 }
 
-/// @return true if a field would end early when it is passed on. The HTTP library decodes encoded
-/// words (RFC 2047), which may hold line ends.
-bool has_unsafe_field(const Poco::Net::HTTPResponse& response) {
-  return std::any_of(response.begin(), response.end(),
-                     [](const auto& it) { return http::has_control_character(it.second); });
+/// @return true if a caller that decodes encoded words (RFC 2047) would find a line end or another
+/// control character in a field.
+bool has_unsafe_field(const http::header_fields& fields) {
+  return std::any_of(fields.all().begin(), fields.all().end(), [](const auto& it) {
+    return http::has_control_character(Poco::Net::MessageHeader::decodeWord(it.value));
+  });
 }
 
-header_list copy_headers(const Poco::Net::HTTPResponse& response) {
+header_list copy_headers(const http::header_fields& fields) {
   header_list result;
-  for (const auto& [name, value] : response) {
+  for (const auto& [name, value] : fields.all()) {
     result.emplace_back(name, value);
   }
   return result;
 }
 
-} // namespace
-
-namespace {
-
-/// Session that tells whether bytes were received beyond the last answer.
-class pooled_session : public Poco::Net::HTTPClientSession {
- public:
-  using HTTPClientSession::buffered;
-  using HTTPClientSession::HTTPClientSession;
-};
+/// Bound on the head of an answer.
+constexpr std::size_t max_answer_head_bytes = 64UL * 1024UL;
 
 } // namespace
 
 struct upstream_client::connection {
-  explicit connection(recording_socket* socket)
-      : record(socket), session(Poco::Net::StreamSocket(socket)) {
-    session.setKeepAlive(true);
-    session.setKeepAliveTimeout(Poco::Timespan(3'600, 0));
-  }
+  connection(Poco::Net::StreamSocket socket, std::size_t max_answer_bytes)
+      : link(std::move(socket), {max_answer_head_bytes, max_answer_bytes}) {}
 
-  recording_socket* record;
-  pooled_session session;
+  http::client_connection link;
   time_point idle_since{};
-
-  /// @return true when the target closed the connection or sent bytes that nobody asked for.
-  bool stale() {
-    return session.buffered() > 0 ||
-           session.socket().poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ);
-  }
 };
 
 upstream_client::upstream_client(const cut_filter& cuts) : cuts_(cuts) {}
@@ -158,25 +110,24 @@
       candidate = std::move(idle.back());
       idle.pop_back();
     }
-    if (now - candidate->idle_since < max_idle && !candidate->stale()) {
+    if (now - candidate->idle_since < max_idle && !candidate->link.stale()) {
       return candidate;
     }
   }
 }
 
-std::unique_ptr<upstream_client::connection> upstream_client::connect(const endpoint& target,
-                                                                      time_point deadline) const {
+std::unique_ptr<upstream_client::connection>
+upstream_client::connect(const endpoint& target, time_point deadline,
+                         std::size_t max_answer_bytes) const {
   if (cuts_.drops(target.address)) {
     return nullptr;
   }
   try {
-    const Poco::Net::SocketAddress address(target.address, target.port);
-    auto* record = new recording_socket(address.family());
-    auto result = std::make_unique<connection>(record);
+    Poco::Net::StreamSocket socket;
     const duration left = std::min<duration>(deadline - clock_type::now(), max_connect_time);
-    record->connect(address, to_timespan(left));
-    record->setNoDelay(true);
-    return result;
+    socket.connect(Poco::Net::SocketAddress(target.address, target.port), to_timespan(left));
+    socket.setNoDelay(true);
+    return std::make_unique<connection>(std::move(socket), max_answer_bytes);
   } catch (const Poco::Exception& error) {
     VLOG(1) << "event=connect-failed target=" << to_string(target) << " cause=\""
             << error.displayText() << '"';
@@ -237,50 +188,39 @@
   }
   auto used = cuts_.drops(target.address) ? nullptr : take(start, target);
   if (!used) {
-    used = connect(target, deadline);
+    used = connect(target, deadline, max_answer_bytes);
   }
   if (!used) {
     return {attempt_result::connect_failed, {}, clock_type::now() - start};
   }
-  attempt_outcome result = exchange(*used, request, deadline, caller_socket, max_answer_bytes);
+  attempt_outcome result = exchange(*used, request, deadline, caller_socket);
   const time_point end = clock_type::now();
   result.latency = end - start;
   // A connection whose request did not end with a whole answer is never used again: a late
   // answer on it would go to another caller.
-  if (result.result == attempt_result::answered && used->session.getKeepAlive() &&
-      used->session.buffered() == 0) {
+  if (result.result == attempt_result::answered && used->link.reusable()) {
     give_back(end, target, std::move(used), max_connections);
   }
   return result;
 }
 
 attempt_outcome upstream_client::exchange(connection& used, const upstream_request& request,
-                                          time_point deadline, int caller_socket,
-                                          std::size_t max_answer_bytes) const {
+                                          time_point deadline, int caller_socket) const {
   attempt_outcome result;
-  used.record->start_request();
+  http::client_connection& link = used.link;
+  // The last look at the clock before the first byte: a process that was paused since the
+  // decision must not send a request whose deadline has passed.
+  if (clock_type::now() >= deadline) {
+    result.result = attempt_result::timed_out_before_send;
+    return result;
+  }
   try {
-    Poco::Net::HTTPRequest head(request.method, request.target, Poco::Net::HTTPMessage::HTTP_1_1);
+    http::outgoing_request wire{request.method, request.target, {}, request.body};
     for (const auto& [name, value] : request.headers) {
-      head.set(name, value);
-    }
-    head.setKeepAlive(true);
-    if (!request.body.empty() || request.method == "POST" || request.method == "PUT") {
-      head.setContentLength64(static_cast<Poco::Int64>(request.body.size()));
+      wire.fields.set(name, value);
     }
-    // The last look at the clock before the first byte: a process that was paused since the
-    // decision must not send a request whose deadline has passed.
-    const time_point now = clock_type::now();
-    if (now >= deadline) {
-      result.result = attempt_result::timed_out_before_send;
-      return result;
-    }
-    used.record->setSendTimeout(to_timespan(deadline - now));
-    std::ostream& out = used.session.sendRequest(head);
-    out.write(request.body.data(), static_cast<std::streamsize>(request.body.size()));
-    out.flush();
-
-    switch (wait_readable(used.record->sockfd(), caller_socket, deadline)) {
+    link.send(wire, deadline);
+    switch (wait_readable(link.socket().impl()->sockfd(), caller_socket, deadline)) {
     case wait_result::caller_gone:
       result.result = attempt_result::cancelled;
       return result;
@@ -290,57 +230,37 @@
     case wait_result::readable:
       break;
     }
-    used.record->setReceiveTimeout(to_timespan(deadline - clock_type::now()));
-    Poco::Net::HTTPResponse response;
-    std::istream& in = used.session.receiveResponse(response);
-    std::array<char, 8'192> buf{};
-    while (in.read(buf.data(), buf.size()) || in.gcount() > 0) {
-      result.answer.body.append(buf.data(), static_cast<std::size_t>(in.gcount()));
-      if (result.answer.body.size() > max_answer_bytes) {
-        result.result = attempt_result::truncated;
-        return result;
-      }
-      if (clock_type::now() >= deadline) {
-        result.result = attempt_result::timed_out;
-        return result;
-      }
+    if (const auto failure = link.receive(deadline)) {
+      VLOG(1) << "event=attempt-broken cause=\"" << http::to_string(*failure) << '"';
+      result.result = failure->in_body ? attempt_result::truncated : attempt_result::broken;
+      return result;
     }
-    result.answer.status = response.getStatus();
-    result.answer.reason = response.getReason();
-    result.answer.headers = copy_headers(response);
-
-    const bool has_body =
-        request.method != "HEAD" && result.answer.status != 204 && result.answer.status != 304;
-    const bool whole =
-        !has_body ||
-        (response.hasContentLength()
-             ? response.getContentLength64() == static_cast<Poco::Int64>(result.answer.body.size())
-             // POCO's chunked stream treats a closed connection like the last chunk; a whole
-             // chunked body never reads up to the end of the connection.
-             : response.getChunkedTransferEncoding() && !used.record->ended());
-    if (!whole) {
+    if (link.until_close()) {
+      // The end of a process looks like the end of the body.
       result.result = attempt_result::truncated;
       return result;
     }
-    if (has_unsafe_field(response)) {
+    http::response& answer = link.message();
+    if (has_unsafe_field(answer.fields)) {
       VLOG(1) << "event=attempt-broken cause=\"control characters in a header field\"";
       result.result = attempt_result::broken;
       return result;
     }
-    if (response.has("Damaskledge-Attempt") &&
-        response.get("Damaskledge-Attempt") != request.attempt) {
+    if (const std::string* attempt = answer.fields.find("Damaskledge-Attempt");
+        attempt != nullptr && *attempt != request.attempt) {
       result.result = attempt_result::mismatched;
       return result;
     }
-    used.session.setKeepAlive(response.getKeepAlive());
     result.result = attempt_result::answered;
+    result.answer.status = answer.status;
+    result.answer.reason = answer.reason;
+    result.answer.headers = copy_headers(answer.fields);
+    result.answer.body = std::move(answer.body);
   } catch (const Poco::TimeoutException&) {
-    result.result =
-        used.record->sent() ? attempt_result::timed_out : attempt_result::timed_out_before_send;
+    result.result = link.sent() ? attempt_result::timed_out : attempt_result::timed_out_before_send;
   } catch (const Poco::Exception& error) {
     VLOG(1) << "event=attempt-broken cause=\"" << error.displayText() << '"';
-    result.result =
-        used.record->sent() ? attempt_result::broken : attempt_result::broken_before_send;
+    result.result = link.sent() ? attempt_result::broken : attempt_result::broken_before_send;
   }
   return result;
 }
--- a/source/node/upstream_client.h
+++ b/source/node/upstream_client.h
@@ -11,9 +11,6 @@
 #include <utility>
 #include <vector>
 
-#include <Poco/Net/HTTPClientSession.h>
-#include <Poco/Net/StreamSocket.h>
-
 #include "common/common.h"
 #include "node/cut_filter.h"
 #include "node/headers.h"
@@ -92,11 +89,12 @@
   };
 
   std::unique_ptr<connection> take(time_point now, const endpoint& target);
-  std::unique_ptr<connection> connect(const endpoint& target, time_point deadline) const;
+  std::unique_ptr<connection> connect(const endpoint& target, time_point deadline,
+                                      std::size_t max_answer_bytes) const;
   void give_back(time_point now, const endpoint& target, std::unique_ptr<connection> used,
                  std::uint32_t max_connections);
   attempt_outcome exchange(connection& used, const upstream_request& request, time_point deadline,
-                           int caller_socket, std::size_t max_answer_bytes) const;
+                           int caller_socket) const;
 
   const cut_filter& cuts_;
   std::mutex mutex_;
--- a/tests/failure/answers_test.cpp
+++ b/tests/failure/answers_test.cpp
@@ -5,6 +5,7 @@
 #include <doctest/doctest.h>
 
 #include "failure/fleet.h"
+#include "http/raw_server.h"
 #include "stand_ins/http_server.h"
 
 namespace damaskledge::failure {
@@ -18,7 +19,11 @@
                                     {"method", "GET"},
                                     {"path", "/state"},
                                     {"deadline", "4s"}});
+    plan.plans["routes"].push_back(
+        {{"name", "raw"}, {"service", "raw"}, {"method", "GET"}, {"path", "/state"}});
+    plan.plans["routes"].back()["deadline"] = "4s";
     plan.plans["plans"][0]["routes"].push_back("late");
+    plan.plans["plans"][0]["routes"].push_back("raw");
     return plan;
   }());
   static const bool started = instance.start();
@@ -181,6 +186,42 @@
   CHECK(counts.truncated >= 3);
 }
 
+TEST_CASE("malformed and broken answers never reach the caller") {
+  fleet& all = shared();
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  const std::string good = ok + "Content-Length: 4\r\n\r\nseen";
+  const machine& vm = all.machines()[0];
+  test::raw_server upstream(good, test::then::reset, {vm.address, 9'200});
+  const auto call = [&] { return all.call(vm, "crews", "GET", "/raw/state"); };
+  const auto announce = [&] {
+    exchange({vm.address, 8'081},
+             {.method = "POST",
+              .target = "/.damaskledge/announce",
+              .body = R"({"service":"raw","port":9200,"slots":8,"connections":16})"});
+  };
+  for (const auto& it : {
+           std::string("HTTP/1.1 000 Trouble\r\nContent-Length: 0\r\n\r\n"),
+           ok + "X Other: 1\r\nContent-Length: 4\r\n\r\nseen",
+           ok + "Content-Length: 4\r\n\rX-Other: 1\r\n\r\nseen",
+           ok + "Transfer-Encoding: chunked\r\n\r\n4\r\nseen\r\n",
+       }) {
+    CAPTURE(it);
+    upstream.answer_with(good);
+    REQUIRE(wait_until(
+        [&] {
+          announce();
+          return call().status == 200;
+        },
+        milliseconds(15'000)));
+    upstream.answer_with(it);
+    const auto answer = call();
+    CHECK(answer.status == 502);
+    CHECK(answer.body.find("seen") == std::string::npos);
+    CHECK(answer.header("Damaskledge-Outcome") == "unknown");
+  }
+  CHECK_FALSE(all.violated());
+}
+
 TEST_CASE("an answer that comes after its deadline goes to nobody") {
   // Guards against a connection that is used again while an earlier answer is still to come.
   fleet& all = shared();
--- a/tests/http/raw_server.h
+++ b/tests/http/raw_server.h
@@ -4,7 +4,7 @@
 
 #include <atomic>
 #include <cstdint>
-#include <memory>
+#include <mutex>
 #include <string>
 #include <thread>
 #include <vector>
@@ -24,9 +24,9 @@
 /// Answers each request on each connection with the same bytes, one connection at a time.
 class raw_server {
  public:
-  raw_server(std::string bytes, then after)
-      : bytes_(std::move(bytes)), after_(after), socket_(Poco::Net::SocketAddress("127.0.0.1", 0)),
-        thread_([this] { run(); }) {}
+  raw_server(std::string bytes, then after, const endpoint& at = {"127.0.0.1", 0})
+      : bytes_(std::move(bytes)), after_(after),
+        socket_(Poco::Net::SocketAddress(at.address, at.port)), thread_([this] { run(); }) {}
   ~raw_server() {
     stopping_ = true;
     thread_.join();
@@ -36,6 +36,11 @@
 
   endpoint address() const { return {"127.0.0.1", socket_.address().port()}; }
   int connections() const { return connections_; }
+  /// Sends other bytes from now on.
+  void answer_with(const std::string& bytes) {
+    const std::lock_guard lock(mutex_);
+    bytes_ = bytes;
+  }
 
  private:
   void run() {
@@ -68,7 +73,10 @@
         continue;
       }
       input.clear();
-      connection.sendBytes(bytes_.data(), static_cast<int>(bytes_.size()));
+      {
+        const std::lock_guard lock(mutex_);
+        connection.sendBytes(bytes_.data(), static_cast<int>(bytes_.size()));
+      }
       if (after_ == then::reset) {
         connection.setLinger(true, 0);
       }
@@ -78,6 +86,7 @@
     }
   }
 
+  std::mutex mutex_;
   std::string bytes_;
   then after_;
   Poco::Net::ServerSocket socket_;
