Refuse partial pages of nodes in damaskledgectl

damaskledgectl took a part of a node's page (cut by the end of the connection or by a reset, with a length or in chunks) for the whole page with status 200, and a page above 64 KiB for its first 64 KiB.

Cause: it read once from Poco's stream, which swallows exceptions and does not compare lengths. Change: http::fetch, which returns whole answers only; the error is shown as the reply's text with status 0, as for an endpoint that does not respond.

--- a/source/control/outside.cpp
+++ b/source/control/outside.cpp
@@ -1,12 +1,8 @@
 #include <memory>
 #include <thread>
 
-#include <Poco/Exception.h>
-#include <Poco/Net/HTTPClientSession.h>
-#include <Poco/Net/HTTPRequest.h>
-#include <Poco/Net/HTTPResponse.h>
-
 #include "control/control.h"
+#include "http/http.h"
 
 namespace damaskledge::control {
 
@@ -14,25 +10,16 @@
 
 /// Explanations are short; a longer body does not come from a node.
 constexpr std::size_t max_reply_bytes = 65'536;
+constexpr std::size_t max_reply_head_bytes = 16'384;
 
 node_reply get_once(const endpoint& node, const std::string& path, milliseconds timeout) {
-  try {
-    Poco::Net::HTTPClientSession session(node.address, node.port);
-    session.setTimeout(Poco::Timespan(timeout.count() * 1'000));
-    Poco::Net::HTTPRequest request(Poco::Net::HTTPRequest::HTTP_GET, path,
-                                   Poco::Net::HTTPMessage::HTTP_1_1);
-    session.sendRequest(request);
-    Poco::Net::HTTPResponse response;
-    std::istream& stream = session.receiveResponse(response);
-    node_reply result;
-    result.status = response.getStatus();
-    result.body.resize(max_reply_bytes);
-    stream.read(result.body.data(), static_cast<std::streamsize>(result.body.size()));
-    result.body.resize(static_cast<std::size_t>(stream.gcount()));
-    return result;
-  } catch (const Poco::Exception& error) {
-    return {0, error.displayText()};
+  std::string error;
+  auto answer = http::fetch(node, {"GET", path, {}, {}}, timeout,
+                            {max_reply_head_bytes, max_reply_bytes}, error);
+  if (!answer) {
+    return {0, error};
   }
+  return {answer->status, std::move(answer->body)};
 }
 
 } // namespace
--- a/tests/control/over_http_test.cpp
+++ b/tests/control/over_http_test.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include "control/control.h"
+#include "http/raw_server.h"
 #include "stand_ins/platform_server.h"
 
 namespace damaskledge::control {
@@ -78,5 +79,22 @@
   CHECK(outside.get(server.address(), "/explain?request=a").status == 404);
 }
 
+TEST_CASE_FIXTURE(over_http, "A part of a node's page is not taken for the whole page") {
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  for (const auto& it : {ok + "Content-Length: 8\r\n\r\npart",
+                         ok + "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n"}) {
+    CAPTURE(it);
+    for (const auto after : {test::then::end, test::then::reset}) {
+      const test::raw_server node(it, after);
+      const auto reply = outside.get(node.address(), "/explain?request=a");
+      CHECK(reply.status == 0);
+      CHECK(reply.body.find("part") == std::string::npos);
+    }
+  }
+  const test::raw_server node("HTTP/1.1 000 Trouble\r\nContent-Length: 4\r\n\r\npart",
+                              test::then::end);
+  CHECK(outside.get(node.address(), "/explain?request=a").body != "part");
+}
+
 } // namespace
 } // namespace damaskledge::control
