Count spans as exported only after a whole answer of the collector

Spans were counted as exported after malformed or partial answers of the collector. Cause and change as for the other clients: http::fetch.

--- a/source/telemetry/spans.cpp
+++ b/source/telemetry/spans.cpp
@@ -2,14 +2,9 @@
 #include <iterator>
 #include <utility>
 
-#include <Poco/Exception.h>
-#include <Poco/Net/HTTPClientSession.h>
-#include <Poco/Net/HTTPRequest.h>
-#include <Poco/Net/HTTPResponse.h>
-#include <Poco/NullStream.h>
-#include <Poco/StreamCopier.h>
 #include <nlohmann/json.hpp>
 
+#include "http/http.h"
 #include "telemetry/telemetry.h"
 
 namespace damaskledge::telemetry {
@@ -147,23 +142,12 @@
 
 bool span_exporter::send(const std::vector<span>& batch) const {
   const std::string body = to_otlp_json(batch, options_.resource);
-  try {
-    Poco::Net::HTTPClientSession session(options_.collector.address, options_.collector.port);
-    session.setTimeout(Poco::Timespan(options_.timeout.count() * 1'000));
-    Poco::Net::HTTPRequest request(Poco::Net::HTTPRequest::HTTP_POST, "/v1/traces",
-                                   Poco::Net::HTTPMessage::HTTP_1_1);
-    request.setContentType("application/json");
-    request.setContentLength64(static_cast<Poco::Int64>(body.size()));
-    session.sendRequest(request) << body;
-    Poco::Net::HTTPResponse response;
-    Poco::NullOutputStream discard;
-    Poco::StreamCopier::copyStream(session.receiveResponse(response), discard);
-    return response.getStatus() >= 200 && response.getStatus() < 300;
-  } catch (const Poco::Exception&) {
-    return false;
-  } catch (const std::exception&) {
-    return false;
-  }
+  http::outgoing_request request{"POST", "/v1/traces", {}, body};
+  request.fields.add("Content-Type", "application/json");
+  std::string error;
+  const auto answer = http::fetch(options_.collector, std::move(request), options_.timeout,
+                                  http::message_limits{}, error);
+  return answer && answer->status >= 200 && answer->status < 300;
 }
 
 } // namespace damaskledge::telemetry
--- a/tests/telemetry/telemetry_test.cpp
+++ b/tests/telemetry/telemetry_test.cpp
@@ -13,6 +13,7 @@
 #include <nlohmann/json.hpp>
 #include <rapidcheck.h>
 
+#include "http/raw_server.h"
 #include "telemetry/telemetry.h"
 
 using namespace damaskledge;
@@ -290,6 +291,27 @@
   }
 }
 
+TEST_CASE("spans whose export got a malformed or partial answer do not count as exported") {
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  std::vector<std::string> bad = test::malformed_answers();
+  bad.push_back(ok + "Content-Length: 8\r\n\r\npart");
+  bad.push_back(ok + "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n");
+  for (const auto& it : bad) {
+    CAPTURE(it);
+    const test::raw_server server(it, test::then::end);
+    span_exporter exporter({.collector = server.address(),
+                            .resource = {},
+                            .max_queue = 100,
+                            .max_batch = 1,
+                            .interval = milliseconds{10},
+                            .timeout = milliseconds{1'000},
+                            .backoff = milliseconds{50}});
+    exporter.record(example_span());
+    CHECK(wait_until([&] { return exporter.exported() + exporter.dropped() == 1; }));
+    CHECK(exporter.exported() == 0);
+  }
+}
+
 TEST_CASE("the refusal log keeps the last refusals within its bound") {
   // Guards against unbounded memory and against an explanation of the wrong request.
   refusal_log log(3);
