Count malformed and partial answers in damaskledge-load as such

The load tool counted parts of bodies in chunks and answers with malformed heads as good when the content is not checked, and status 000 as a failure of the upstream.

--- a/source/load/run.cpp
+++ b/source/load/run.cpp
@@ -10,28 +10,27 @@
 #include <tuple>
 #include <utility>
 
-#include <Poco/Net/HTTPClientSession.h>
-#include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Net/StreamSocket.h>
-#include <Poco/StreamCopier.h>
 #include <nlohmann/json.hpp>
 
+#include "http/http.h"
 #include "load/load.h"
 
 namespace damaskledge::load {
 
 namespace {
 
-using Poco::Net::HTTPClientSession;
 using Poco::Net::HTTPResponse;
 
 /// How long the tool waits for an answer beyond the deadline that it asked for.
 constexpr milliseconds answer_margin{500};
 /// Time after which a caller that went to another node tries its own again.
 constexpr seconds home_retry_interval{1};
-constexpr std::size_t max_answer_bytes = 16'777'216;
+constexpr http::message_limits answer_limits{65'536, 16'777'216};
+constexpr milliseconds executions_timeout{60'000};
+constexpr http::message_limits executions_limits{65'536, 1UL << 30U};
 /// Longest pause that a refusal can ask for.
 constexpr seconds max_retry_after{30};
 
@@ -68,8 +67,13 @@
   return std::nullopt;
 }
 
-milliseconds parse_retry_after(const HTTPResponse& response) {
-  const std::string text = response.get("Retry-After", "");
+std::string field(const http::response& response, std::string_view name) {
+  const std::string* value = response.fields.find(name);
+  return value == nullptr ? "" : *value;
+}
+
+milliseconds parse_retry_after(const http::response& response) {
+  const std::string text = field(response, "Retry-After");
   unsigned value = 0;
   const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), value);
   if (ec != std::errc{} || end != text.data() + text.size()) {
@@ -180,7 +184,7 @@
 
   /// A worker's connection.
   struct connection {
-    std::unique_ptr<HTTPClientSession> session;
+    std::unique_ptr<http::client_connection> link;
     std::size_t target = 0;
     time_point left_home{};
   };
@@ -283,25 +287,21 @@
   /// Opens the worker's connection, to its own target if that can be reached.
   /// @return false when no target can be reached.
   bool connect(std::size_t home, connection& own, duration timeout) {
-    if (own.session && own.target != home &&
+    if (own.link && own.target != home &&
         clock_type::now() - own.left_home >= home_retry_interval) {
-      own.session.reset();
+      own.link.reset();
     }
-    // An idle connection that is readable has been closed by the node.
-    if (own.session &&
-        own.session->socket().poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ)) {
-      own.session.reset();
+    if (own.link && own.link->stale()) {
+      own.link.reset();
     }
-    for (std::size_t n = 0; !own.session && n < targets_.size(); ++n) {
+    for (std::size_t n = 0; !own.link && n < targets_.size(); ++n) {
       const std::size_t target = (home + n) % targets_.size();
       try {
         Poco::Net::StreamSocket socket;
         socket.connect(Poco::Net::SocketAddress(targets_[target].address, targets_[target].port),
                        to_timespan(timeout));
         socket.setNoDelay(true);
-        own.session = std::make_unique<HTTPClientSession>(socket);
-        own.session->setKeepAlive(true);
-        own.session->setKeepAliveTimeout(Poco::Timespan(1, 0, 0, 0, 0));
+        own.link = std::make_unique<http::client_connection>(std::move(socket), answer_limits);
         own.target = target;
         own.left_home = clock_type::now();
         opened_connections_.fetch_add(1);
@@ -309,7 +309,7 @@
         // A caller whose node cannot be reached goes to the next one.
       }
     }
-    return own.session != nullptr;
+    return own.link != nullptr;
   }
 
   void exchange(const task& it, std::size_t home, connection& own, attempt_record& result) {
@@ -329,81 +329,52 @@
     path += (path.find('?') == std::string::npos ? "?call=" : "&call=") + call_id;
     const std::string body =
         replace_all(replace_all(call.body, "{operation}", operation), "{call}", call_id);
+    http::outgoing_request request{call.method, path, {}, body};
+    request.fields.add("Host", to_string(targets_[own.target]));
+    if (direct_) {
+      request.fields.add("Damaskledge-Account", account.name);
+      request.fields.add("Damaskledge-Request-Id", request_id);
+      request.fields.add("Damaskledge-Deadline-Ms", std::to_string(call.deadline.count()));
+    } else {
+      request.fields.add("Authorization", "Bearer " + keys_.at(account.name));
+      request.fields.add("Damaskledge-Timeout-Ms", std::to_string(call.deadline.count()));
+    }
+    if (call.operation == operation_place::header) {
+      request.fields.add("Idempotency-Key", operation);
+    }
+    if (!body.empty() || call.method != "GET") {
+      request.fields.add("Content-Type", "application/json");
+    }
     bool keep = false;
     try {
-      own.session->socket().setSendTimeout(to_timespan(call.deadline + answer_margin));
-      own.session->socket().setReceiveTimeout(to_timespan(call.deadline + answer_margin));
-      Poco::Net::HTTPRequest request(call.method, path, Poco::Net::HTTPRequest::HTTP_1_1);
-      request.setKeepAlive(true);
-      request.setHost(to_string(targets_[own.target]));
-      if (direct_) {
-        request.set("Damaskledge-Account", account.name);
-        request.set("Damaskledge-Request-Id", request_id);
-        request.set("Damaskledge-Deadline-Ms", std::to_string(call.deadline.count()));
+      own.link->send(request, give_up);
+      const auto failure = own.link->receive(give_up);
+      if (failure && !failure->in_body) {
+        result.result = result_kind::connection_failed;
       } else {
-        request.set("Authorization", "Bearer " + keys_.at(account.name));
-        request.set("Damaskledge-Timeout-Ms", std::to_string(call.deadline.count()));
-      }
-      if (call.operation == operation_place::header) {
-        request.set("Idempotency-Key", operation);
-      }
-      if (!body.empty() || call.method != "GET") {
-        request.setContentType("application/json");
-        request.setContentLength64(static_cast<Poco::Int64>(body.size()));
-      }
-      std::ostream& out = own.session->sendRequest(request);
-      out.write(body.data(), static_cast<std::streamsize>(body.size()));
-      out.flush();
-      HTTPResponse response;
-      std::istream& in = own.session->receiveResponse(response);
-      std::string content;
-      const bool in_time = read_body(in, own.session->socket(), give_up, content);
-      result.status = response.getStatus();
-      if (!direct_) {
-        request_id = response.get("Damaskledge-Request-Id", "");
-      }
-      const bool whole =
-          response.hasContentLength()
-              ? static_cast<std::size_t>(response.getContentLength64()) == content.size()
-              : response.getChunkedTransferEncoding();
-      classify(response, content, whole, call_id, request_id, result);
-      if (!in_time) {
-        result.result = result_kind::timed_out;
+        const http::response& response = own.link->message();
+        result.status = response.status;
+        if (!direct_) {
+          request_id = field(response, "Damaskledge-Request-Id");
+        }
+        const bool whole = !failure && !own.link->until_close();
+        classify(response, whole, call_id, request_id, result);
+        keep = own.link->reusable();
       }
-      keep = in_time && whole && response.getKeepAlive();
     } catch (const Poco::TimeoutException&) {
       result.result = result_kind::timed_out;
     } catch (const Poco::Exception&) {
       result.result = result_kind::connection_failed;
     }
     if (!keep) {
-      own.session.reset();
+      own.link.reset();
     }
   }
 
-  /// @return false when the answer takes too long or is too large.
-  static bool read_body(std::istream& in, Poco::Net::StreamSocket& socket, time_point give_up,
-                        std::string& content) {
-    auto& buffer = *in.rdbuf();
-    while (buffer.sgetc() != std::istream::traits_type::eof()) {
-      const auto count = static_cast<std::size_t>(std::max<std::streamsize>(1, buffer.in_avail()));
-      const std::size_t before = content.size();
-      content.resize(before + count);
-      content.resize(before + static_cast<std::size_t>(buffer.sgetn(
-                                  content.data() + before, static_cast<std::streamsize>(count))));
-      const time_point now = clock_type::now();
-      if (now >= give_up || content.size() > max_answer_bytes) {
-        return false;
-      }
-      socket.setReceiveTimeout(to_timespan(give_up - now));
-    }
-    return true;
-  }
-
-  void classify(const HTTPResponse& response, const std::string& content, bool whole,
-                const std::string& call_id, const std::string& request_id,
-                attempt_record& result) const {
-    result.replayed = response.get("Damaskledge-Replayed", "") == "true";
+  void classify(const http::response& response, bool whole, const std::string& call_id,
+                const std::string& request_id, attempt_record& result) const {
+    const std::string& content = response.body;
+    result.replayed = field(response, "Damaskledge-Replayed") == "true";
     if (result.status >= 200 && result.status < 300) {
       // A replayed answer carries the request id of the run that it came from.
       const bool own = result.replayed ? content.find("|" + call_id + "|") != std::string::npos
@@ -413,8 +384,8 @@
       return;
     }
     result.retry_after = parse_retry_after(response);
-    const std::string reason = response.get("Damaskledge-Reason", "");
-    if (response.get("Damaskledge-Outcome", "") == to_string(outcome::not_run)) {
+    const std::string reason = field(response, "Damaskledge-Reason");
+    if (field(response, "Damaskledge-Outcome") == to_string(outcome::not_run)) {
       result.state = outcome::not_run;
     }
     result.reason = parse_reason(reason);
@@ -503,16 +474,16 @@
 leaf::result<executions_result> fetch_executions(const std::vector<endpoint>& upstreams) {
   executions_result result;
   for (const endpoint& it : upstreams) {
+    std::string error;
+    const auto answer = http::fetch(it, {"GET", "/control/executions", {}, {}}, executions_timeout,
+                                    executions_limits, error);
+    if (!answer) {
+      return leaf::new_error(
+          environment_error{"no execution log from " + to_string(it) + ": " + error,
+                            "give the addresses of upstream stand-ins that run"});
+    }
     try {
-      HTTPClientSession session(it.address, it.port);
-      session.setTimeout(Poco::Timespan(10, 0));
-      Poco::Net::HTTPRequest request("GET", "/control/executions",
-                                     Poco::Net::HTTPRequest::HTTP_1_1);
-      session.sendRequest(request).flush();
-      HTTPResponse response;
-      std::string content;
-      Poco::StreamCopier::copyToString(session.receiveResponse(response), content);
-      const auto document = nlohmann::json::parse(content);
+      const auto document = nlohmann::json::parse(answer->body);
       result.leaked_keys += document.at("leaked_keys").get<std::uint64_t>();
       for (const auto& line : document.at("executions")) {
         std::string operation = line.value("operation", "");
@@ -522,13 +493,9 @@
         result.executions.push_back(
             {line.at("service"), line.value("account", ""), std::move(operation)});
       }
-    } catch (const Poco::Exception& error) {
-      return leaf::new_error(
-          environment_error{"no execution log from " + to_string(it) + ": " + error.displayText(),
-                            "give the addresses of upstream stand-ins that run"});
-    } catch (const nlohmann::json::exception& error) {
+    } catch (const nlohmann::json::exception& problem) {
       return leaf::new_error(
-          environment_error{"no execution log from " + to_string(it) + ": " + error.what(),
+          environment_error{"no execution log from " + to_string(it) + ": " + problem.what(),
                             "give the addresses of upstream stand-ins"});
     }
   }
--- a/tests/load/run_test.cpp
+++ b/tests/load/run_test.cpp
@@ -7,6 +7,7 @@
 
 #include <doctest/doctest.h>
 
+#include "http/raw_server.h"
 #include "load/load.h"
 #include "stand_ins/http_server.h"
 #include "stand_ins/upstream_server.h"
@@ -127,6 +128,27 @@
   CHECK(all(result_kind::refused));
 }
 
+// Guards against a broken body in chunks that counts as a success.
+TEST_CASE(
+    "malformed and partial answers are no successes, whether their content is checked or not") {
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  for (const auto& it : {ok + "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n",
+                         ok + "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\nzz\r\n\r\n",
+                         ok + "X Other: 1\r\nContent-Length: 4\r\n\r\nseen",
+                         std::string("HTTP/1.1 000 Trouble\r\nContent-Length: 0\r\n\r\n")}) {
+    CAPTURE(it);
+    const test::raw_server node(it, test::then::end);
+    scenario value = scenario_for({node.address()}, 40);
+    value.connections = 1;
+    value.check_answers = false;
+    const auto result = run(value, options());
+    REQUIRE(result);
+    CHECK(count(*result, result_kind::good) == 0);
+    CHECK(count(*result, result_kind::failed) == 0);
+    CHECK(result->attempts.size() == result->arrivals.size());
+  }
+}
+
 TEST_CASE("answers after the deadline are late, and missing ones time out") {
   std::atomic<int> delay_ms{500};
   http_server node({"127.0.0.1", 0}, 64, [&](http_exchange& it) {
