Test that a node's page above the limit is not cut short

Before its reader was replaced, damaskledgectl took a page of 70,000 bytes for its first 64 KiB: this check fails on that code (200 instead of 0).

--- a/tests/control/over_http_test.cpp
+++ b/tests/control/over_http_test.cpp
@@ -91,6 +91,9 @@
       CHECK(reply.body.find("part") == std::string::npos);
     }
   }
+  const test::raw_server large(ok + "Content-Length: 70000\r\n\r\n" + std::string(70'000, 'x'),
+                               test::then::end);
+  CHECK(outside.get(large.address(), "/explain?request=a").status == 0);
   const test::raw_server node("HTTP/1.1 000 Trouble\r\nContent-Length: 4\r\n\r\npart",
                               test::then::end);
   CHECK(outside.get(node.address(), "/explain?request=a").body != "part");
