Pass sockets of client connections by reference

Poco's sockets are handles that share their implementation and have no move; the linter reports a move without effect. No change of behaviour.

--- a/source/http/client_connection.cpp
+++ b/source/http/client_connection.cpp
@@ -47,8 +47,8 @@
   return part + "is invalid";
 }
 
-client_connection::client_connection(Poco::Net::StreamSocket socket, message_limits limits)
-    : socket_(std::move(socket)), reader_(limits) {}
+client_connection::client_connection(const Poco::Net::StreamSocket& socket, message_limits limits)
+    : socket_(socket), reader_(limits) {}
 
 void client_connection::send(const outgoing_request& value, time_point deadline) {
   sent_ = false;
@@ -132,7 +132,7 @@
   try {
     Poco::Net::StreamSocket socket;
     socket.connect(Poco::Net::SocketAddress(server.address, server.port), time_left(deadline));
-    client_connection connection(std::move(socket), limits);
+    client_connection connection(socket, limits);
     value.fields.set("Host", to_string(server));
     value.fields.set("Connection", "close");
     connection.send(value, deadline);
--- a/source/http/http.h
+++ b/source/http/http.h
@@ -190,7 +190,7 @@
 /// end of a broken chunked body for its last chunk.
 class client_connection {
  public:
-  client_connection(Poco::Net::StreamSocket socket, message_limits limits);
+  client_connection(const Poco::Net::StreamSocket& socket, message_limits limits);
 
   /// Sends a request, with Content-Length where the method may have a body. If the connection
   /// breaks meanwhile, an answer may have arrived before, so that is told by `receive`.
--- a/source/load/run.cpp
+++ b/source/load/run.cpp
@@ -301,7 +301,7 @@
         socket.connect(Poco::Net::SocketAddress(targets_[target].address, targets_[target].port),
                        to_timespan(timeout));
         socket.setNoDelay(true);
-        own.link = std::make_unique<http::client_connection>(std::move(socket), answer_limits);
+        own.link = std::make_unique<http::client_connection>(socket, answer_limits);
         own.target = target;
         own.left_home = clock_type::now();
         opened_connections_.fetch_add(1);
--- a/source/node/upstream_client.cpp
+++ b/source/node/upstream_client.cpp
@@ -86,8 +86,8 @@
 } // namespace
 
 struct upstream_client::connection {
-  connection(Poco::Net::StreamSocket socket, std::size_t max_answer_bytes)
-      : link(std::move(socket), {max_answer_head_bytes, max_answer_bytes}) {}
+  connection(const Poco::Net::StreamSocket& socket, std::size_t max_answer_bytes)
+      : link(socket, {max_answer_head_bytes, max_answer_bytes}) {}
 
   http::client_connection link;
   time_point idle_since{};
@@ -127,7 +127,7 @@
     const duration left = std::min<duration>(deadline - clock_type::now(), max_connect_time);
     socket.connect(Poco::Net::SocketAddress(target.address, target.port), to_timespan(left));
     socket.setNoDelay(true);
-    return std::make_unique<connection>(std::move(socket), max_answer_bytes);
+    return std::make_unique<connection>(socket, max_answer_bytes);
   } catch (const Poco::Exception& error) {
     VLOG(1) << "event=connect-failed target=" << to_string(target) << " cause=\""
             << error.displayText() << '"';
--- a/source/platform/http_client.cpp
+++ b/source/platform/http_client.cpp
@@ -433,7 +433,7 @@
                        to_timespan(std::min(parts.timeout, timeout_)));
         socket.setNoDelay(true);
         connection = std::make_unique<http::client_connection>(
-            std::move(socket), http::message_limits{max_answer_head_bytes, max_answer_bytes});
+            socket, http::message_limits{max_answer_head_bytes, max_answer_bytes});
       }
     } catch (const Poco::Exception& error) {
       result.reason = "no connection to " + to_string(target.address) + ": " + error.displayText();
