--- a/source/control/outside.cpp
+++ b/source/control/outside.cpp
@@ -13,11 +13,10 @@
 constexpr std::size_t max_reply_head_bytes = 16'384;
 
 node_reply get_once(const endpoint& node, const std::string& path, milliseconds timeout) {
-  std::string error;
-  auto answer = http::fetch(node, {"GET", path, {}, {}}, timeout,
-                            {max_reply_head_bytes, max_reply_bytes}, error);
+  auto [answer, error] =
+      http::fetch(node, {"GET", path, {}, {}}, timeout, {max_reply_head_bytes, max_reply_bytes});
   if (!answer) {
-    return {0, error};
+    return {0, std::move(error)};
   }
   return {answer->status, std::move(answer->body)};
 }
--- a/source/event/event.h
+++ b/source/event/event.h
@@ -199,7 +199,7 @@
   void write_available();
   /// @return bytes that the peer has acknowledged since the start.
   std::uint64_t acknowledged() const;
-  /// @return true after a reset, since the stream shuts its own direction only in `closing_`.
+  /// @return true after a reset. An orderly end of the peer is none while this direction is open.
   bool hung_up() const;
   /// Reports the end of the stream later, unless the stream is reset before.
   void await_reset();
--- a/source/http/client_connection.cpp
+++ b/source/http/client_connection.cpp
@@ -126,8 +126,8 @@
          socket_.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ);
 }
 
-std::optional<response> fetch(const endpoint& server, outgoing_request value, milliseconds timeout,
-                              message_limits limits, std::string& error) {
+fetch_result fetch(const endpoint& server, outgoing_request value, milliseconds timeout,
+                   message_limits limits) {
   const time_point deadline = clock_type::now() + timeout;
   try {
     Poco::Net::StreamSocket socket;
@@ -136,15 +136,13 @@
     value.fields.set("Host", to_string(server));
     value.fields.set("Connection", "close");
     connection.send(value, deadline);
-    const auto failure = connection.receive(deadline);
-    if (!failure) {
-      return std::move(connection.message());
+    if (const auto failure = connection.receive(deadline)) {
+      return {std::nullopt, to_string(*failure)};
     }
-    error = to_string(*failure);
-  } catch (const Poco::Exception& problem) {
-    error = problem.displayText();
+    return {std::move(connection.message()), {}};
+  } catch (const Poco::Exception& error) {
+    return {std::nullopt, error.displayText()};
   }
-  return std::nullopt;
 }
 
 } // namespace damaskledge::http
--- a/source/http/http.h
+++ b/source/http/http.h
@@ -226,11 +226,16 @@
   bool reusable_ = false;
 };
 
+/// A whole answer, or the reason why there is none.
+struct fetch_result {
+  std::optional<response> answer;
+  std::string error;
+};
+
 /// Makes one request on a connection of its own.
-/// @param limits of the answer.
-/// @return the answer, or nothing with the reason in `error`.
-std::optional<response> fetch(const endpoint& server, outgoing_request value, milliseconds timeout,
-                              message_limits limits, std::string& error);
+/// @param limits bounds of the answer.
+fetch_result fetch(const endpoint& server, outgoing_request value, milliseconds timeout,
+                   message_limits limits);
 
 /// Removes the fields that concern only one connection, and those named by `Connection`.
 /// Source: RFC 9110 section 7.6.1.
--- a/source/load/run.cpp
+++ b/source/load/run.cpp
@@ -474,9 +474,8 @@
 leaf::result<executions_result> fetch_executions(const std::vector<endpoint>& upstreams) {
   executions_result result;
   for (const endpoint& it : upstreams) {
-    std::string error;
-    const auto answer = http::fetch(it, {"GET", "/control/executions", {}, {}}, executions_timeout,
-                                    executions_limits, error);
+    const auto [answer, error] = http::fetch(it, {"GET", "/control/executions", {}, {}},
+                                             executions_timeout, executions_limits);
     if (!answer) {
       return leaf::new_error(
           environment_error{"no execution log from " + to_string(it) + ": " + error,
--- a/source/telemetry/spans.cpp
+++ b/source/telemetry/spans.cpp
@@ -144,9 +144,9 @@
   const std::string body = to_otlp_json(batch, options_.resource);
   http::outgoing_request request{"POST", "/v1/traces", {}, body};
   request.fields.add("Content-Type", "application/json");
-  std::string error;
-  const auto answer = http::fetch(options_.collector, std::move(request), options_.timeout,
-                                  http::message_limits{}, error);
+  const auto answer =
+      http::fetch(options_.collector, std::move(request), options_.timeout, http::message_limits{})
+          .answer;
   return answer && answer->status >= 200 && answer->status < 300;
 }
 
