Read heads and chunks in time that grows with their size

Requests of all callers of its node had no answer half a second after their route's timeout, and /ready was silent for seconds.

Cause: the head parser added each field to a Poco message, which looks for its name among all earlier fields, so that a head cost the square of its number of fields: 0.27 s of a core for 64 KB, and 16 interim heads of one answer were parsed in one call. All connections share one thread.

The same cause on related paths, each shown by a row of the new test: - the end of a head was searched from its start after each piece (5.5 s of processor time for two heads of 64 KB that arrive byte by byte) - each line of a chunked body moved all bytes behind it (4.8 s for 1 MiB of one-byte chunks that arrive at once) - each empty line before a request did, too (4.7 s for 1 MiB) - removing the fields that Connection names looked at all fields for each name - the identity of an answer was looked up again with each piece of its body

Change: fields are kept in the product's own list, and Poco parses the start line only. The search for the end of a head goes on where it stopped. Chunks and empty lines are removed from the buffer once. Interim heads of one answer are together no larger than one head may be.

--- a/source/http/fields.cpp
+++ b/source/http/fields.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <cctype>
+#include <unordered_set>
 
 #include <Poco/Net/HTTPResponse.h>
 
@@ -13,6 +14,12 @@
   return static_cast<char>(std::tolower(static_cast<unsigned char>(value)));
 }
 
+std::string to_lower(std::string_view text) {
+  std::string result(text);
+  std::transform(result.begin(), result.end(), result.begin(), lower);
+  return result;
+}
+
 void append_fields(std::string& out, const header_fields& fields) {
   for (const auto& it : fields.all()) {
     out += it.name;
@@ -51,7 +58,11 @@
 }
 
 void header_fields::remove(std::string_view name) {
-  std::erase_if(fields_, [&](const header_field& it) { return same_name(it.name, name); });
+  remove_if([&](const header_field& it) { return same_name(it.name, name); });
+}
+
+void header_fields::remove_if(const std::function<bool(const header_field&)>& condition) {
+  std::erase_if(fields_, condition);
 }
 
 void header_fields::set(std::string_view name, std::string value) {
@@ -69,17 +80,18 @@
 }
 
 void remove_connection_fields(header_fields& fields) {
-  std::vector<std::string> names{"Connection",
-                                 "Keep-Alive",
-                                 "Proxy-Connection",
-                                 "TE",
-                                 "Trailer",
-                                 "Transfer-Encoding",
-                                 "Upgrade",
-                                 "Expect",
-                                 "Proxy-Authorization",
-                                 "Proxy-Authenticate",
-                                 "Content-Length"};
+  // A set, since one field can name some thousands of others.
+  std::unordered_set<std::string> names{"connection",
+                                        "keep-alive",
+                                        "proxy-connection",
+                                        "te",
+                                        "trailer",
+                                        "transfer-encoding",
+                                        "upgrade",
+                                        "expect",
+                                        "proxy-authorization",
+                                        "proxy-authenticate",
+                                        "content-length"};
   for (const auto& it : fields.all()) {
     if (!same_name(it.name, "Connection")) {
       continue;
@@ -87,13 +99,11 @@
     std::string_view rest = it.value;
     while (!rest.empty()) {
       const auto comma = rest.find(',');
-      names.emplace_back(detail::trim(rest.substr(0, comma)));
+      names.insert(to_lower(detail::trim(rest.substr(0, comma))));
       rest = comma == std::string_view::npos ? std::string_view{} : rest.substr(comma + 1);
     }
   }
-  for (const auto& it : names) {
-    fields.remove(it);
-  }
+  fields.remove_if([&](const header_field& it) { return names.contains(to_lower(it.name)); });
 }
 
 std::string serialize_head(const request& message) {
--- a/source/http/http.h
+++ b/source/http/http.h
@@ -1,13 +1,16 @@
 /// @file
 /// Incremental reading of HTTP/1.1 messages with strict framing, and their serialization.
 ///
-/// Poco's HTTPRequest and HTTPResponse parse a complete header block; the readers here delimit the
-/// block and the body without blocking, and reject what two parsers could frame differently.
+/// Poco's HTTPRequest and HTTPResponse parse the start line; the readers here delimit the head and
+/// the body without blocking, and reject what two parsers could frame differently. The work for a
+/// message grows with its size and not with its square, whatever it consists of and however it
+/// arrives: one thread reads the messages of all connections.
 /// Programs with a thread for each call read answers with the same readers (`client_connection`).
 /// Source: RFC 9112.
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -33,6 +36,7 @@
   void add(std::string name, std::string value);
   /// Removes every field of that name.
   void remove(std::string_view name);
+  void remove_if(const std::function<bool(const header_field&)>& condition);
   /// Replaces every field of that name by one.
   void set(std::string_view name, std::string value);
   /// @return the first value, or nothing.
@@ -81,6 +85,19 @@
 
 enum class framing : std::uint8_t { none, length, chunked, until_close };
 
+/// Finds the end of a head in a growing buffer. Searches no byte twice, since a head may arrive in
+/// many pieces.
+class head_finder {
+ public:
+  /// @param input the same buffer as in the last call, with further bytes at its end.
+  /// @return the end of the head including its empty line, or npos.
+  std::size_t find(std::string_view input);
+
+ private:
+  /// No end begins before this position.
+  std::size_t searched_ = 0;
+};
+
 /// Decodes one message's body from a growing buffer.
 class body_decoder {
  public:
@@ -94,6 +111,8 @@
  private:
   enum class chunk_step : std::uint8_t { size, data, data_end, trailer };
   read_state feed_chunked(std::string& input, std::string& body);
+  /// Removes from `rest` what was decoded.
+  read_state decode_chunks(std::string_view& rest, std::string& body);
   read_state fail(read_error error);
 
   framing kind_ = framing::none;
@@ -129,6 +148,7 @@
   message_limits limits_;
   read_state state_ = read_state::idle;
   read_error error_ = read_error::malformed;
+  detail::head_finder head_;
   request message_;
   detail::body_decoder body_;
 };
@@ -157,8 +177,11 @@
   message_limits limits_;
   bool head_request_ = false;
   int interim_answers_ = 0;
+  /// Size of the heads of the interim answers so far.
+  std::size_t interim_bytes_ = 0;
   read_state state_ = read_state::idle;
   read_error error_ = read_error::malformed;
+  detail::head_finder head_;
   response message_;
   detail::body_decoder body_;
 };
--- a/source/http/readers.cpp
+++ b/source/http/readers.cpp
@@ -16,7 +16,8 @@
 constexpr std::size_t max_chunk_line = 1'024;
 /// Size of all trailers of one message.
 constexpr std::size_t max_trailers = 16UL * 1024UL;
-/// Interim (1xx) answers before the final one; a server could send them without end.
+/// Interim (1xx) answers before the final one; a server could send them without end. Their heads
+/// together are no larger than one head may be.
 constexpr int max_interim_answers = 16;
 
 bool is_token_character(char value) {
@@ -71,14 +72,19 @@
   std::size_t length = 0;
 };
 
+/// @return how many fields have that name.
+std::ptrdiff_t count_fields(const header_fields& fields, std::string_view name) {
+  return std::count_if(fields.all().begin(), fields.all().end(),
+                       [&](const header_field& it) { return same_name(it.name, name); });
+}
+
 /// @return how the body is delimited; nothing when the fields are contradictory.
-template <class Message>
-std::optional<head_framing> find_framing(const Message& message) {
+std::optional<head_framing> find_framing(const header_fields& fields) {
   head_framing result;
   bool has_length = false;
-  for (const auto& [name, value] : message) {
-    if (same_name(name, "Content-Length")) {
-      const auto n = parse_number(value);
+  for (const auto& it : fields.all()) {
+    if (same_name(it.name, "Content-Length")) {
+      const auto n = parse_number(it.value);
       if (!n || (has_length && *n != result.length)) {
         return std::nullopt;
       }
@@ -87,11 +93,9 @@
       result.length = *n;
     }
   }
-  if (message.has("Transfer-Encoding")) {
-    const auto n = std::count_if(message.begin(), message.end(), [](const auto& it) {
-      return same_name(it.first, "Transfer-Encoding");
-    });
-    if (has_length || n != 1 || !same_name(message.get("Transfer-Encoding"), "chunked")) {
+  if (const std::string* encoding = fields.find("Transfer-Encoding")) {
+    const auto n = count_fields(fields, "Transfer-Encoding");
+    if (has_length || n != 1 || !same_name(*encoding, "chunked")) {
       return std::nullopt;
     }
     result.kind = detail::framing::chunked;
@@ -99,19 +103,12 @@
   return result;
 }
 
-template <class Message>
-header_fields copy_fields(const Message& message) {
-  header_fields result;
-  for (const auto& [name, value] : message) {
-    result.add(name, value);
-  }
-  return result;
-}
-
 /// A head that was parsed, and how its body is delimited.
 template <class Message>
 struct parsed_head {
+  /// The start line, and of the fields only `Connection`.
   Message message;
+  header_fields fields;
   head_framing framing;
 };
 
@@ -131,7 +128,9 @@
     return nullptr;
   }
   // Poco's parser decodes encoded words (RFC 2047) in values, so that line ends can come out of
-  // printable characters. The values passed on must be those that were checked.
+  // printable characters. The values passed on must be those that were checked. Its messages also
+  // look for the name of each field among all earlier ones, so that a head costs the square of its
+  // number of fields.
   while (true) {
     const auto line = take_line(block);
     if (!line) {
@@ -144,9 +143,12 @@
     if (!field) {
       return nullptr;
     }
-    result->message.add(field->name, field->value);
+    result->fields.add(std::move(field->name), std::move(field->value));
+  }
+  if (const std::string* connection = result->fields.find(Poco::Net::HTTPMessage::CONNECTION)) {
+    result->message.set(Poco::Net::HTTPMessage::CONNECTION, *connection);
   }
-  const auto framing = find_framing(result->message);
+  const auto framing = find_framing(result->fields);
   if (!framing) {
     return nullptr;
   }
@@ -154,16 +156,21 @@
   return result;
 }
 
-/// @return the end of the header block including its empty line, or npos.
-std::size_t head_end(const std::string& input) {
-  const auto at = input.find("\r\n\r\n");
-  return at == std::string::npos ? at : at + 4;
-}
-
 } // namespace
 
 namespace detail {
 
+std::size_t head_finder::find(std::string_view input) {
+  constexpr std::string_view end = "\r\n\r\n";
+  const auto at = input.find(end, searched_);
+  if (at == std::string_view::npos) {
+    searched_ = input.size() < end.size() ? 0 : input.size() - end.size() + 1;
+    return at;
+  }
+  searched_ = 0;
+  return at + end.size();
+}
+
 void body_decoder::start(framing kind, std::size_t length, std::size_t limit) {
   kind_ = kind;
   remaining_ = length;
@@ -201,42 +208,48 @@
 }
 
 read_state body_decoder::feed_chunked(std::string& input, std::string& body) {
+  std::string_view rest = input;
+  const read_state state = decode_chunks(rest, body);
+  // Removed once for all chunks, since each removal moves everything behind it.
+  input.erase(0, input.size() - rest.size());
+  return state;
+}
+
+read_state body_decoder::decode_chunks(std::string_view& rest, std::string& body) {
   while (true) {
     if (step_ == chunk_step::data) {
-      const std::size_t n = std::min(remaining_, input.size());
-      body.append(input, 0, n);
-      input.erase(0, n);
+      const std::size_t n = std::min(remaining_, rest.size());
+      body.append(rest.substr(0, n));
+      rest.remove_prefix(n);
       remaining_ -= n;
       if (remaining_ != 0) {
         return read_state::body;
       }
       step_ = chunk_step::data_end;
     }
-    const auto end = input.find("\r\n");
-    if (end == std::string::npos) {
-      return input.size() > max_chunk_line ? fail(read_error::malformed) : read_state::body;
+    const auto line = take_line(rest);
+    if (!line) {
+      return rest.size() > max_chunk_line ? fail(read_error::malformed) : read_state::body;
     }
-    const std::string line = input.substr(0, end);
-    input.erase(0, end + 2);
-    if (line.find('\n') != std::string::npos || line.size() > max_chunk_line) {
+    if (line->find('\n') != std::string_view::npos || line->size() > max_chunk_line) {
       return fail(read_error::malformed);
     }
     if (step_ == chunk_step::data_end) {
-      if (!line.empty()) {
+      if (!line->empty()) {
         return fail(read_error::malformed);
       }
       step_ = chunk_step::size;
     } else if (step_ == chunk_step::trailer) {
-      if (line.empty()) {
+      if (line->empty()) {
         return read_state::complete;
       }
-      trailer_bytes_ += line.size() + 2;
+      trailer_bytes_ += line->size() + 2;
       if (trailer_bytes_ > max_trailers) {
         return fail(read_error::body_too_large);
       }
     } else {
       constexpr std::size_t max_size_digits = 8;
-      const std::string digits = line.substr(0, line.find(';'));
+      const std::string digits(line->substr(0, line->find(';')));
       if (digits.empty() || digits.size() > max_size_digits ||
           !std::all_of(digits.begin(), digits.end(),
                        [](unsigned char it) { return std::isxdigit(it) != 0; })) {
@@ -261,20 +274,23 @@
 
 void request_reader::reset() {
   state_ = read_state::idle;
+  head_ = {};
   message_ = {};
 }
 
 read_state request_reader::feed(std::string& input) {
   if (state_ == read_state::idle || state_ == read_state::head) {
     // Empty lines before the request line are allowed (RFC 9112 section 2.2).
-    while (input.size() >= 2 && input[0] == '\r' && input[1] == '\n') {
-      input.erase(0, 2);
+    std::size_t empty_lines = 0;
+    while (input.compare(empty_lines, 2, "\r\n") == 0) {
+      empty_lines += 2;
     }
+    input.erase(0, empty_lines);
     if (input.empty()) {
       return state_;
     }
     state_ = read_state::head;
-    const auto end = head_end(input);
+    const auto end = head_.find(input);
     if (std::min(end, input.size()) > limits_.head_bytes) {
       return fail(read_error::head_too_large);
     }
@@ -307,12 +323,10 @@
   const std::string& version = parsed.getVersion();
   const std::string& target = parsed.getURI();
   if (!is_token(parsed.getMethod()) || target.empty() ||
-      (version != "HTTP/1.1" && version != "HTTP/1.0") || !parsed.has("Host")) {
+      (version != "HTTP/1.1" && version != "HTTP/1.0")) {
     return false;
   }
-  const auto hosts = std::count_if(parsed.begin(), parsed.end(),
-                                   [](const auto& it) { return same_name(it.first, "Host"); });
-  if (hosts != 1 || (target.front() != '/' && target != "*")) {
+  if (count_fields(head->fields, "Host") != 1 || (target.front() != '/' && target != "*")) {
     return false;
   }
   if (framing.kind == detail::framing::chunked && version == "HTTP/1.0") {
@@ -321,8 +335,8 @@
   message_.method = parsed.getMethod();
   message_.target = target;
   message_.keep_alive = parsed.getKeepAlive();
-  message_.expects_continue = parsed.has("Expect");
-  message_.fields = copy_fields(parsed);
+  message_.expects_continue = head->fields.find("Expect") != nullptr;
+  message_.fields = std::move(head->fields);
   body_.start(framing.kind, framing.length, limits_.body_bytes);
   return true;
 }
@@ -336,7 +350,9 @@
 void response_reader::start(bool head_request) {
   head_request_ = head_request;
   interim_answers_ = 0;
+  interim_bytes_ = 0;
   state_ = read_state::idle;
+  head_ = {};
   message_ = {};
   body_.start(detail::framing::none, 0, 0);
 }
@@ -347,7 +363,7 @@
       return state_;
     }
     state_ = read_state::head;
-    const auto end = head_end(input);
+    const auto end = head_.find(input);
     if (std::min(end, input.size()) > limits_.head_bytes) {
       return fail(read_error::head_too_large);
     }
@@ -361,8 +377,11 @@
       return fail(read_error::malformed);
     }
     const bool interim = message_.status >= 100 && message_.status < 200;
-    if (interim && ++interim_answers_ > max_interim_answers) {
-      return fail(read_error::malformed);
+    if (interim) {
+      interim_bytes_ += block.size();
+      if (++interim_answers_ > max_interim_answers || interim_bytes_ > limits_.head_bytes) {
+        return fail(read_error::malformed);
+      }
     }
     state_ = interim ? read_state::idle : read_state::body;
   }
@@ -399,7 +418,7 @@
   message_.status = status;
   message_.reason = parsed.getReason();
   message_.keep_alive = parsed.getKeepAlive();
-  message_.fields = copy_fields(parsed);
+  message_.fields = std::move(head->fields);
   auto kind = framing.kind;
   if (head_request_ || status < 200 || status == 204 || status == 304) {
     kind = detail::framing::none;
--- a/source/sidecar/upstream_executor.cpp
+++ b/source/sidecar/upstream_executor.cpp
@@ -332,13 +332,14 @@
     return;
   }
   while (true) {
+    const bool in_body = it.reader.state() == http::read_state::body;
     const auto state = it.reader.feed(it.stream->input());
     if (state == http::read_state::failed) {
       it.reusable = false;
       finish(it, make_answer(call_result::unknown, "malformed answer", true));
       return;
     }
-    if (state == http::read_state::body && !may_belong(it)) {
+    if (state == http::read_state::body && !in_body && !may_belong(it)) {
       it.reusable = false;
       finish(it, make_answer(call_result::unknown, "answer without identity", true));
       return;
--- a/tests/http/readers_test.cpp
+++ b/tests/http/readers_test.cpp
@@ -1,4 +1,6 @@
+#include <ctime>
 #include <string>
+#include <vector>
 
 #include <doctest/doctest.h>
 
@@ -20,8 +22,93 @@
   return reader.error();
 }
 
+/// @return processor time of this thread.
+milliseconds processor_time() {
+  timespec value{};
+  ::clock_gettime(CLOCK_THREAD_CPUTIME_ID, &value);
+  return std::chrono::duration_cast<milliseconds>(seconds(value.tv_sec) +
+                                                  std::chrono::nanoseconds(value.tv_nsec));
+}
+
+/// @return `piece`, repeated up to `size` bytes.
+std::string repeated(const std::string& piece, std::size_t size) {
+  std::string result;
+  while (result.size() + piece.size() <= size) {
+    result += piece;
+  }
+  return result;
+}
+
+/// Reads bytes that arrive `step` at a time, until the message is whole or refused.
+template <class Reader>
+void read_in_steps(Reader& reader, const std::string& bytes, std::size_t step) {
+  std::string input;
+  for (std::size_t at = 0; at < bytes.size(); at += step) {
+    input.append(bytes, at, step);
+    const auto state = reader.feed(input);
+    if (state == http::read_state::complete || state == http::read_state::failed) {
+      return;
+    }
+  }
+}
+
 } // namespace
 
+TEST_CASE("A message of many small parts does not hold up the other connections") {
+  // Heads cost the square of their fields, and chunks the square of what arrived with them, so
+  // that a few answers held up every connection of a node for seconds.
+  constexpr std::size_t mebibyte = 1'024UL * 1'024UL;
+  constexpr std::size_t head_bytes = 64'000;
+  // What a stream reads in one round.
+  constexpr std::size_t round_bytes = 64UL * 1'024UL;
+  const std::string fields = repeated("a:\r\n", head_bytes);
+  const std::string answer = "HTTP/1.1 200 OK\r\n";
+  const std::string request = "POST / HTTP/1.1\r\nHost: a\r\n";
+  const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n";
+  struct row {
+    std::string name;
+    std::string answer;
+    std::string request;
+    std::size_t step;
+  };
+  const std::vector<row> rows{
+      {"fields of interim answers",
+       repeated("HTTP/1.1 100 Continue\r\n" + fields + "\r\n", mebibyte), "", round_bytes},
+      {"fields", answer + fields + "\r\n", request + fields + "\r\n", round_bytes},
+      {"fields that arrive byte by byte", answer + fields, request + fields, 1},
+      {"chunks", answer + chunked + repeated("1\r\nx\r\n", mebibyte),
+       request + chunked + repeated("1\r\nx\r\n", mebibyte), round_bytes},
+      {"chunks that arrive at once", answer + chunked + repeated("1\r\nx\r\n", mebibyte),
+       request + chunked + repeated("1\r\nx\r\n", mebibyte), mebibyte},
+      {"empty lines", "", repeated("\r\n", mebibyte), mebibyte},
+      {"names in a Connection field",
+       answer + "Connection: " + repeated("a,", head_bytes / 2) + "\r\n" +
+           fields.substr(0, head_bytes / 2) + "\r\n",
+       "", round_bytes},
+  };
+  for (const auto& it : rows) {
+    CAPTURE(it.name);
+    const auto began = processor_time();
+    http::response_reader responses{http::message_limits{round_bytes, mebibyte}};
+    responses.start(false);
+    read_in_steps(responses, it.answer, it.step);
+    http::remove_connection_fields(responses.message().fields);
+    http::request_reader requests{http::message_limits{round_bytes, mebibyte}};
+    read_in_steps(requests, it.request, it.step);
+    // Callers must have their answers half a second after the timeout of their route.
+    CHECK(processor_time() - began < milliseconds(500));
+  }
+}
+
+TEST_CASE("Interim answers together are no larger than one head may be") {
+  http::response_reader reader{http::message_limits{512, 64}};
+  reader.start(false);
+  std::string input =
+      repeated("HTTP/1.1 103 Early Hints\r\nA: " + std::string(200, 'x') + "\r\n\r\n", 1'024) +
+      "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+  CHECK(reader.feed(input) == http::read_state::failed);
+}
+
 TEST_CASE("A request that arrives byte by byte is read whole") {
   const std::string text = "POST /a/b?c=d HTTP/1.1\r\nHost: x.example:80\r\nContent-Length: 3\r\n"
                            "X-Other: 1\r\n\r\nabcGET";
