Acknowledge a leave only once the store holds it, written by any node

The node acknowledged the leave and was killed before it could record it. The next process used the target again after a late announcement: requests reached it until it ended, and some that may run once failed there.

Cause: a leave was acknowledged after 600 ms whether or not its record was in the store, so that nothing but one process knew it. The next process read that there was no record and took the late announcement for a new one. The log of the killed node told this: leave_record_delayed, leave_not_recorded_in_time.

Change: a node that cannot write the record within 120 ms asks other nodes to write it, one of its own data centre and one of another at a time. Without a record after 600 ms the leave is answered 503; the target gets nothing more from this process all the same, and targets without an acknowledgement end some seconds later. The next process needs no other knowledge than before: its record in the store.

The same on a related path: a farewell that names another target than the known one was ignored and acknowledged; it is answered 503 now.

Two checks of existing tests asked for 200 while the store was down for all nodes. That acknowledgement was the fault: no other process could know of the leave. They ask for 503 now, and one of them also that the target is not used meanwhile.

--- a/source/fleet/fleet.h
+++ b/source/fleet/fleet.h
@@ -279,9 +279,23 @@
   }
 };
 
+/// The target of the sender leaves. Asks the receiver to record that in the store, which does not
+/// take it from the sender; the receiver sends the frame back once it is recorded.
+struct leave_frame {
+  std::string instance;
+  unix_milliseconds started = 0;
+  unix_milliseconds left = 0;
+
+  bool operator==(const leave_frame&) const = default;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(instance, started, left);
+  }
+};
+
 using frame = std::variant<call_frame, answer_frame, cancel_frame, status_frame, load_frame,
                            configuration_request, configuration_frame, admission::crash_report,
-                           digest_frame, status_request>;
+                           digest_frame, status_request, leave_frame>;
 
 /// Name of a frame's type for logs and metrics.
 std::string_view type_name(std::size_t frame_index);
@@ -370,6 +384,12 @@
   /// @return the current configuration, if it is newer than the given version.
   std::function<std::optional<configuration_frame>(std::uint64_t known)> on_configuration_request;
   std::function<void(const configuration_frame&)> on_configuration;
+  /// The target of another node leaves. Send the frame back with `network::answer` once that is
+  /// recorded.
+  std::function<void(std::uint64_t connection, const std::string& node, const leave_frame&)>
+      on_leave;
+  /// Another node has recorded a leave for this one.
+  std::function<void(const leave_frame&)> on_leave_recorded;
   /// The link to a node was lost or established.
   std::function<void(const node_entry&, bool connected)> on_link;
 };
@@ -401,8 +421,8 @@
   std::optional<std::uint64_t> call(const std::string& node, call_frame value, completion done);
   /// Cancels a call whose caller has disconnected; its completion will not run.
   void cancel(const std::string& node, std::uint64_t id);
-  /// Answers a received call; does nothing if its connection was closed.
-  void answer(std::uint64_t connection, const answer_frame& value);
+  /// Answers a received call or leave; does nothing if its connection was closed.
+  void answer(std::uint64_t connection, const frame& value);
   /// Sends a frame to every connected node of this data centre.
   void broadcast_near(const frame& value);
   /// Sends a digest to one node of each other data centre, which forwards it to the others there.
--- a/source/fleet/frames.cpp
+++ b/source/fleet/frames.cpp
@@ -9,8 +9,8 @@
 
 std::string_view type_name(std::size_t frame_index) {
   static constexpr std::array<std::string_view, std::variant_size_v<frame>> names{
-      "call",           "answer", "cancel",       "status", "load",
-      "config_request", "config", "crash_report", "digest", "status_request"};
+      "call",   "answer",       "cancel", "status",         "load", "config_request",
+      "config", "crash_report", "digest", "status_request", "leave"};
   return frame_index < names.size() ? names[frame_index] : "invalid";
 }
 
--- a/source/fleet/network.cpp
+++ b/source/fleet/network.cpp
@@ -233,6 +233,8 @@
       }
     } else if (const auto* configuration = std::get_if<configuration_frame>(&*next.value)) {
       callbacks_.on_configuration(*configuration);
+    } else if (const auto* leave = std::get_if<leave_frame>(&*next.value)) {
+      callbacks_.on_leave_recorded(*leave);
     } else if (const auto* status = std::get_if<status_frame>(&*next.value)) {
       if (status->node == name && is_current_incarnation(name, status->incarnation)) {
         store_status(*status);
@@ -303,7 +305,7 @@
   }
 }
 
-void network::answer(std::uint64_t connection, const answer_frame& value) {
+void network::answer(std::uint64_t connection, const frame& value) {
   if (const auto found = inbound_.find(connection); found != inbound_.end()) {
     reply(*found->second, value);
   }
@@ -430,6 +432,8 @@
     }
   } else if (const auto* configuration = std::get_if<configuration_frame>(&value)) {
     callbacks_.on_configuration(*configuration);
+  } else if (const auto* leave = std::get_if<leave_frame>(&value); leave && !link.node.empty()) {
+    callbacks_.on_leave(link.id, link.node, *leave);
   }
 }
 
--- a/source/sidecar/agent.cpp
+++ b/source/sidecar/agent.cpp
@@ -20,8 +20,8 @@
 /// Nodes that start together appear in the store within about half a second.
 constexpr milliseconds node_watch_pause{500};
 constexpr milliseconds store_timeout{1'500};
-/// A target whose leave is not recorded within this time gets its acknowledgement all the same; it
-/// waits for one for 1 s.
+/// A target whose leave is not recorded within this time gets no acknowledgement, for which it
+/// waits 1 s.
 constexpr milliseconds leave_record_limit{600};
 /// While the record of leaves cannot be read, the target's health check is asked at this interval.
 constexpr milliseconds identify_interval{1'000};
@@ -57,8 +57,12 @@
     : loop_(loop), timers_(loop), settings_(values), incarnation_(random_id().low),
       log_(loop, values.name), rates_(values.first_start, incarnation_), budget_({}), crashes_({}),
       writer_(loop, values.store_address), health_(loop, values.upstream_address),
-      leaves_(loop, values.store_address, values.name, log_, counters_),
-      configuration_fetch_(incarnation_), started_(loop.now()) {
+      leaves_(
+          loop, values.store_address, values.name,
+          [this](const adapter::leave_record& record) { ask_peers_to_record(record); }, log_,
+          counters_),
+      peer_leaves_(loop, values.store_address, log_, counters_), configuration_fetch_(incarnation_),
+      started_(loop.now()) {
   set_retry_budget();
   rates_.set_tolerance(values.account_tolerance);
   fleet::network_options network;
@@ -94,6 +98,15 @@
               [this](const fleet::configuration_frame& frame) {
                 measure("apply_configuration", [&] { apply_configuration(frame.text, "node"); });
               },
+          .on_leave =
+              [this](std::uint64_t from, const std::string& node, const fleet::leave_frame& leave) {
+                peer_leaves_.record(node, {leave.instance, leave.started, leave.left},
+                                    [this, from, leave] { nodes_->answer(from, leave); });
+              },
+          .on_leave_recorded =
+              [this](const fleet::leave_frame& leave) {
+                leaves_.recorded_by_peer({leave.instance, leave.started, leave.left});
+              },
           .on_link =
               [this](const fleet::node_entry& node, bool connected) {
                 log_.state(log_line(connected ? "node_connected" : "node_lost")
@@ -253,8 +266,12 @@
     return;
   }
   if (call->farewell) {
-    target_->farewell(call->instance);
-    acknowledge_announcement(from);
+    if (target_->farewell(call->instance)) {
+      acknowledge_announcement(from);
+    } else {
+      // Nothing keeps this leave, so it must not be acknowledged.
+      reply(*announcements_, from, 503, "{}", "application/json");
+    }
     return;
   }
   const auto value = adapter::parse_announcement(call->instance, message.body);
@@ -285,18 +302,37 @@
 }
 
 void agent::acknowledge_announcement(request_handle from) {
-  const auto acknowledge = [this, from] {
-    reply(*announcements_, from, 200, "{}", "application/json");
+  const auto acknowledge = [this, from](bool binding) {
+    reply(*announcements_, from, binding ? 200 : 503, "{}", "application/json");
   };
   if (!target_->leave()) {
-    acknowledge();
+    acknowledge(true);
     return;
   }
-  // The acknowledgement of a leave binds a later process of this node, too.
+  // The acknowledgement of a leave binds a later process of this node, too, which knows only what
+  // the store holds. Without it this process uses the target no more all the same.
   record_leave();
   leaves_.when_stored(leave_record_limit, acknowledge);
 }
 
+void agent::ask_peers_to_record(const adapter::leave_record& record) {
+  std::vector<std::string> near;
+  std::vector<std::string> far;
+  for (const auto& [name, node] : nodes_->nodes()) {
+    if (nodes_->reachable(node)) {
+      (node.data_centre == settings_.data_centre ? near : far).push_back(name);
+    }
+  }
+  // One of each kind, since the store may be out of reach for a whole data centre.
+  for (const auto& names : {near, far}) {
+    if (!names.empty()) {
+      nodes_->send(names[record_requests_ % names.size()],
+                   fleet::leave_frame{record.instance, record.started, record.left});
+    }
+  }
+  ++record_requests_;
+}
+
 void agent::record_leave() {
   if (const auto leave = target_->leave()) {
     leaves_.store(*leave);
--- a/source/sidecar/agent.h
+++ b/source/sidecar/agent.h
@@ -10,6 +10,7 @@
 #include "sidecar/event_log.h"
 #include "sidecar/http_service.h"
 #include "sidecar/instruments.h"
+#include "sidecar/leave_recorder.h"
 #include "sidecar/leave_records.h"
 #include "sidecar/router.h"
 #include "sidecar/sidecar.h"
@@ -60,6 +61,8 @@
   void acknowledge_announcement(request_handle from);
   /// Has the leave of the target recorded, if it leaves.
   void record_leave();
+  /// Asks some of the other nodes, different ones each time, to record the leave of the target.
+  void ask_peers_to_record(const adapter::leave_record& record);
   void on_leave_loaded(const std::optional<adapter::leave_record>& record, bool delayed);
   void on_ready(request_handle from);
   void on_metrics(request_handle from);
@@ -128,6 +131,9 @@
   store_channel writer_;
   store_channel health_;
   leave_records leaves_;
+  leave_recorder peer_leaves_;
+  /// Counts how often other nodes were asked to record a leave.
+  std::size_t record_requests_ = 0;
   /// The store has no leave of the target, but may lack one.
   bool leave_may_be_missing_ = false;
   /// The latest announcement of a target that may have left.
--- a/source/sidecar/leave_records.cpp
+++ b/source/sidecar/leave_records.cpp
@@ -8,13 +8,16 @@
 
 /// The store answers within 1 s when it is slow.
 constexpr milliseconds call_timeout{1'500};
+/// Other nodes are asked to write the record after this time, which is enough for the store's usual
+/// answer, and further ones at this interval.
+constexpr milliseconds peer_interval{120};
 
 } // namespace
 
 leave_records::leave_records(event::loop& loop, const endpoint& store, std::string node,
-                             event_log& log, instruments& counters)
-    : timers_(loop), channel_(loop, store), node_(std::move(node)), log_(log), counters_(counters) {
-}
+                             peer_request ask_peers, event_log& log, instruments& counters)
+    : timers_(loop), channel_(loop, store), node_(std::move(node)),
+      ask_peers_(std::move(ask_peers)), log_(log), counters_(counters) {}
 
 void leave_records::load(loaded_callback done) {
   on_loaded_ = std::move(done);
@@ -31,14 +34,23 @@
 
 void leave_records::restored() {
   if (record_) {
+    recorded_by_peer_.reset();
     read_needed_ = true;
     proceed();
   }
 }
 
-void leave_records::when_stored(milliseconds limit, std::function<void()> done) {
+void leave_records::recorded_by_peer(const adapter::leave_record& record) {
+  if (record_ == record && !stored()) {
+    log_.state(log_line("leave_recorded_by_peer").field("name", node_));
+    recorded_by_peer_ = record;
+    run_waiting();
+  }
+}
+
+void leave_records::when_stored(milliseconds limit, std::function<void(bool)> done) {
   if (stored()) {
-    done();
+    done(true);
     return;
   }
   const std::uint64_t id = next_waiting_++;
@@ -46,13 +58,25 @@
   timers_.after(limit, [this, id] {
     if (auto late = waiting_.extract(id)) {
       log_.state(log_line("leave_not_recorded_in_time").field("instance", record_->instance));
-      late.mapped()();
+      late.mapped()(false);
     }
   });
+  if (!std::exchange(asking_, true)) {
+    timers_.after(peer_interval, [this] { ask_peers(); });
+  }
+}
+
+void leave_records::ask_peers() {
+  asking_ = !waiting_.empty();
+  if (asking_) {
+    ask_peers_(*record_);
+    timers_.after(peer_interval, [this] { ask_peers(); });
+  }
 }
 
 bool leave_records::stored() const {
-  return !record_ || (object_ && adapter::parse_leave_record(object_->content) == record_);
+  return !record_ || recorded_by_peer_ == record_ ||
+         (object_ && adapter::parse_leave_record(object_->content) == record_);
 }
 
 void leave_records::proceed() {
@@ -140,7 +164,7 @@
 
 void leave_records::run_waiting() {
   for (auto& [id, done] : std::exchange(waiting_, {})) {
-    done();
+    done(true);
   }
 }
 
--- a/source/sidecar/leave_records.h
+++ b/source/sidecar/leave_records.h
@@ -1,6 +1,7 @@
 /// @file
 /// Keeps in the platform's store which target beside this node leaves. The node's memory ends with
-/// its process, and a late announcement would bring the target back after a restart.
+/// its process, and a late announcement would bring the target back after a restart. If the store
+/// does not take the record from this node, another node writes it.
 #pragma once
 
 #include <cstdint>
@@ -25,9 +26,12 @@
   using loaded_callback =
       std::function<void(const std::optional<adapter::leave_record>& record, bool delayed)>;
 
+  /// Asks other nodes to write the record; they confirm with `recorded_by_peer`.
+  using peer_request = std::function<void(const adapter::leave_record& record)>;
+
   /// @param node name of this node and of its object in the store.
-  leave_records(event::loop& loop, const endpoint& store, std::string node, event_log& log,
-                instruments& counters);
+  leave_records(event::loop& loop, const endpoint& store, std::string node, peer_request ask_peers,
+                event_log& log, instruments& counters);
 
   /// Reads the record; asks again until the store answers.
   void load(loaded_callback done);
@@ -37,9 +41,11 @@
   void store(const adapter::leave_record& record);
   /// The store was restored from an older copy, which may lack the record.
   void restored();
-  /// Runs `done` once the store holds the last record, and after `limit` at the latest: a target
-  /// that gets no acknowledgement ends all the same.
-  void when_stored(milliseconds limit, std::function<void()> done);
+  /// Another node has written the record.
+  void recorded_by_peer(const adapter::leave_record& record);
+  /// Runs `done` once the store holds the last record, and after `limit` at the latest.
+  /// @param done gets whether the store holds the record.
+  void when_stored(milliseconds limit, std::function<void(bool stored)> done);
 
  private:
   bool stored() const;
@@ -52,10 +58,15 @@
   void call_succeeded();
   void retry_later(std::string_view call, int status);
   void run_waiting();
+  /// Asks other nodes again and again while somebody waits for the record.
+  void ask_peers();
 
   event::timer_group timers_;
   store_channel channel_;
   std::string node_;
+  peer_request ask_peers_;
+  /// Other nodes are asked, or will be soon.
+  bool asking_ = false;
   event_log& log_;
   instruments& counters_;
   backoff backoff_;
@@ -69,8 +80,10 @@
   std::optional<adapter::stored_object> object_;
   /// What the object is to hold.
   std::optional<adapter::leave_record> record_;
+  /// What another node has written last for this one.
+  std::optional<adapter::leave_record> recorded_by_peer_;
   /// Callbacks of `when_stored`.
-  std::map<std::uint64_t, std::function<void()>> waiting_;
+  std::map<std::uint64_t, std::function<void(bool)>> waiting_;
   std::uint64_t next_waiting_ = 1;
 };
 
--- a/source/sidecar/upstream_executor.cpp
+++ b/source/sidecar/upstream_executor.cpp
@@ -121,10 +121,15 @@
   start_queued();
 }
 
-void upstream_executor::farewell(const std::string& instance) {
-  if (identity_.leaves(now(), instance)) {
-    set_state(target_state::leaving, "farewell");
-  }
+bool upstream_executor::farewell(const std::string& instance) {
+  if (!identity_.leaves(now(), instance)) {
+    log_.state(log_line("farewell_ignored")
+                   .field("instance", instance)
+                   .field("known", identity_.instance()));
+    return false;
+  }
+  set_state(target_state::leaving, "farewell");
+  return true;
 }
 
 void upstream_executor::recalled(const adapter::leave_record& record) {
--- a/source/sidecar/upstream_executor.h
+++ b/source/sidecar/upstream_executor.h
@@ -107,7 +107,8 @@
   /// service are ignored.
   void announced(const adapter::target_announcement& value);
   /// The target says that it leaves for good.
-  void farewell(const std::string& instance);
+  /// @return false if another target is known.
+  bool farewell(const std::string& instance);
   /// An earlier process of this node has recorded that the target leaves.
   void recalled(const adapter::leave_record& record);
   /// A health check answered for this identity before the first announcement.
--- a/tests/sidecar/agent_test.cpp
+++ b/tests/sidecar/agent_test.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr std::uint16_t store_port = 17'440;
+constexpr std::uint16_t store_door_port = 17'441;
 constexpr std::uint16_t first_port = 17'450;
 constexpr std::uint16_t ports_per_vm = 8;
 
@@ -411,8 +412,10 @@
   SUBCASE("when the store was down as it left") {
     store.down = true;
     const auto asked = loop.refresh_now();
-    REQUIRE(farewell(2) == 200);
+    // A later process would not know of the leave.
+    REQUIRE(farewell(2) == 503);
     CHECK(loop.refresh_now() - asked < seconds(1));
+    CHECK_FALSE(used_within(2, milliseconds(200)));
     store.down = false;
     recorded_later = true;
   }
@@ -434,6 +437,44 @@
   CHECK(used_within(2, milliseconds(2'000)));
 }
 
+// Guards against a leave that is acknowledged before any other process can know it.
+TEST_CASE_FIXTURE(fleet_fixture,
+                  "A leave that the store takes only from other nodes outlives its node") {
+  REQUIRE(store.open_door({"127.0.0.1", store_door_port}));
+  vms[2]->settings.store_address.port = store_door_port;
+  vms[2]->restart();
+  configure();
+  REQUIRE(settle());
+  REQUIRE(announce(2, "ready", 1) == 200);
+  std::function<int()> leaves = [&] { return farewell(2); };
+  SUBCASE("a farewell, the store refuses") {
+    store.door_closed = true;
+  }
+  SUBCASE("a farewell, the store is silent") {
+    store.door_silent = true;
+  }
+  SUBCASE("an announcement") {
+    store.door_closed = true;
+    leaves = [&] { return announce(2, "draining", 2); };
+  }
+  SUBCASE("after the leave of an earlier start") {
+    REQUIRE(farewell(2) == 200);
+    REQUIRE(announce(2, "ready", 1, unix_now() + 5'000) == 200);
+    store.door_closed = true;
+  }
+  const auto asked = loop.refresh_now();
+  CHECK(leaves() == 200);
+  CHECK(loop.refresh_now() - asked < seconds(1));
+  CHECK(store.count("damaskledge-leaves") == 1);
+  vms[2]->kill();
+  store.door_closed = false;
+  store.door_silent = false;
+  vms[2]->start();
+  CHECK_FALSE(used_within(2, milliseconds(400)));
+  CHECK(announce(2, "ready", 3) == 200);
+  CHECK_FALSE(used_within(2, milliseconds(400)));
+}
+
 // Guards against a restarted node that believes a late announcement, or none, while the store is
 // down.
 TEST_CASE_FIXTURE(fleet_fixture, "A restarted node that cannot read the store asks its target") {
@@ -456,7 +497,7 @@
   REQUIRE(settle());
   REQUIRE(announce(2, "ready", 1) == 200);
   store.down = true;
-  REQUIRE(farewell(2) == 200);
+  REQUIRE(farewell(2) == 503);
   vms[2]->healthy = false;
   vms[2]->restart();
   CHECK(announce(2, "ready", 1) == 200);
