Do not take a missing record for proof that no leave was acknowledged

Cause: a process that the store answered at once took the missing record for proof. A store that comes back from an older copy has lost records, and the node that would write them again is gone.

Change: unless the whole fleet starts for the first time, a node that finds no record uses its target once the health check names it or a second announcement follows, as it did before when the store answered late. The health check is asked at once when an announcement has to wait for it, so that a target that serves costs one local call.

Evidence: 'A leave that the store lost while its node was away is not undone' failed before in both subcases (the target was used after the late announcement).

--- a/source/sidecar/agent.cpp
+++ b/source/sidecar/agent.cpp
@@ -299,6 +299,9 @@
   if (!held_announcement_ || order(*held_announcement_) < order(value)) {
     held_announcement_ = value;
   }
+  if (leaves_.loaded()) {
+    identify_target();
+  }
 }
 
 void agent::acknowledge_announcement(request_handle from) {
@@ -347,7 +350,9 @@
                    .field("left", record->left));
     target_->recalled(*record);
   }
-  leave_may_be_missing_ = !record && delayed;
+  // A store that came back from an older copy has lost records, and one that answers late may not
+  // have answered the process before. Only the first process of a fleet has no predecessor.
+  leave_may_be_missing_ = !record && (delayed || !settings_.first_start);
   if (held_announcement_ && !may_have_left()) {
     target_->announced(*std::exchange(held_announcement_, std::nullopt));
   }
--- a/tests/sidecar/agent_test.cpp
+++ b/tests/sidecar/agent_test.cpp
@@ -475,6 +475,31 @@
   CHECK_FALSE(used_within(2, milliseconds(400)));
 }
 
+// Guards against a late announcement that is believed since the store lost the leave with a copy.
+TEST_CASE_FIXTURE(fleet_fixture,
+                  "A leave that the store lost while its node was away is not undone") {
+  configure();
+  REQUIRE(settle());
+  REQUIRE(announce(2, "ready", 1) == 200);
+  store.save();
+  REQUIRE(farewell(2) == 200);
+  vms[2]->healthy = false;
+  vms[2]->kill();
+  store.restore();
+  vms[2]->settings.first_start = false;
+  vms[2]->start();
+  CHECK_FALSE(used_within(2, milliseconds(300)));
+  CHECK(announce(2, "ready", 1) == 200);
+  CHECK_FALSE(used_within(2, milliseconds(1'200)));
+  SUBCASE("the health check passes again") {
+    vms[2]->healthy = true;
+  }
+  SUBCASE("the announcements go on") {
+    CHECK(announce(2, "ready", 2) == 200);
+  }
+  CHECK(used_within(2, milliseconds(2'000)));
+}
+
 // Guards against a restarted node that believes a late announcement, or none, while the store is
 // down.
 TEST_CASE_FIXTURE(fleet_fixture, "A restarted node that cannot read the store asks its target") {
