Limit announcements to 64 KiB

Evidence: 'An announcement without end is refused early' failed before (400 after the whole body was read and parsed, now 413).

--- a/source/sidecar/agent.cpp
+++ b/source/sidecar/agent.cpp
@@ -23,6 +23,9 @@
 /// A target whose leave is not recorded within this time gets no acknowledgement, for which it
 /// waits 1 s.
 constexpr milliseconds leave_record_limit{600};
+/// An announcement has some hundred bytes. A target in trouble may send bytes without end, and each
+/// message is parsed at once, while all other connections wait.
+constexpr std::size_t max_announcement_bytes = 64UL * 1024UL;
 /// While the record of leaves cannot be read, the target's health check is asked at this interval.
 constexpr milliseconds identify_interval{1'000};
 /// A node that is silent for longer than this is considered lost, and its shares are released.
@@ -141,6 +144,9 @@
   announcements_ = std::make_unique<http_service>(
       loop, handle_requests(
                 [this](request_handle from, http::request& it) { on_announcement(from, it); }));
+  http_service_options announcing;
+  announcing.limits.body_bytes = max_announcement_bytes;
+  announcements_->set_options(announcing);
   metrics_ = std::make_unique<http_service>(
       loop, handle_requests([this](request_handle from, http::request&) { on_metrics(from); }));
   router_options routing;
--- a/tests/sidecar/agent_test.cpp
+++ b/tests/sidecar/agent_test.cpp
@@ -549,6 +549,12 @@
   CHECK(announce(2, "ready", 3) == 200);
 }
 
+// Guards against a message of many megabytes that is parsed while all connections wait.
+TEST_CASE_FIXTURE(fleet_fixture, "An announcement without end is refused early") {
+  const std::string body = '[' + std::string(1'024UL * 1'024UL, ' ') + ']';
+  CHECK(call(2, "POST", "/instances/i-vm2/heartbeat", "", 2, body).status == 413);
+}
+
 TEST_CASE_FIXTURE(fleet_fixture,
                   "No answer by the route's timeout is 504 at once and stops the work") {
   configure();
