--- a/source/http/http.h
+++ b/source/http/http.h
@@ -36,6 +36,7 @@
   void add(std::string name, std::string value);
   /// Removes every field of that name.
   void remove(std::string_view name);
+  /// Removes every field that meets the condition.
   void remove_if(const std::function<bool(const header_field&)>& condition);
   /// Replaces every field of that name by one.
   void set(std::string_view name, std::string value);
--- a/source/sidecar/agent.cpp
+++ b/source/sidecar/agent.cpp
@@ -103,8 +103,8 @@
               },
           .on_leave =
               [this](std::uint64_t from, const std::string& node, const fleet::leave_frame& leave) {
-                peer_leaves_.record(node, {leave.instance, leave.started, leave.left},
-                                    [this, from, leave] { nodes_->answer(from, leave); });
+                peer_leaves_.write(node, {leave.instance, leave.started, leave.left},
+                                   [this, from, leave] { nodes_->answer(from, leave); });
               },
           .on_leave_recorded =
               [this](const fleet::leave_frame& leave) {
--- a/source/sidecar/agent.h
+++ b/source/sidecar/agent.h
@@ -10,8 +10,8 @@
 #include "sidecar/event_log.h"
 #include "sidecar/http_service.h"
 #include "sidecar/instruments.h"
-#include "sidecar/leave_recorder.h"
 #include "sidecar/leave_records.h"
+#include "sidecar/peer_leave_writer.h"
 #include "sidecar/router.h"
 #include "sidecar/sidecar.h"
 #include "sidecar/store_client.h"
@@ -131,7 +131,7 @@
   store_channel writer_;
   store_channel health_;
   leave_records leaves_;
-  leave_recorder peer_leaves_;
+  peer_leave_writer peer_leaves_;
   /// Counts how often other nodes were asked to record a leave.
   std::size_t record_requests_ = 0;
   /// The store has no leave of the target, but may lack one.
--- a/source/sidecar/leave_recorder.cpp
+++ b/source/sidecar/peer_leave_writer.cpp
@@ -1,4 +1,4 @@
-#include "sidecar/leave_recorder.h"
+#include "sidecar/peer_leave_writer.h"
 
 #include <utility>
 
@@ -13,12 +13,12 @@
 
 } // namespace
 
-leave_recorder::leave_recorder(event::loop& loop, const endpoint& store, event_log& log,
-                               instruments& counters)
+peer_leave_writer::peer_leave_writer(event::loop& loop, const endpoint& store, event_log& log,
+                                     instruments& counters)
     : channel_(loop, store), log_(log), counters_(counters) {}
 
-void leave_recorder::record(const std::string& node, const adapter::leave_record& record,
-                            std::function<void()> done) {
+void peer_leave_writer::write(const std::string& node, const adapter::leave_record& record,
+                              std::function<void()> done) {
   if (entries_.size() >= max_entries) {
     log_.state(log_line("peer_leave_ignored").field("name", node).field("why", "too many"));
     return;
@@ -29,14 +29,14 @@
   }
 }
 
-void leave_recorder::proceed() {
+void peer_leave_writer::proceed() {
   if (!entries_.empty()) {
     channel_.call(adapter::read_object(adapter::leave_kind, entries_.front().node), call_timeout,
                   [this](const store_answer& answer) { on_read(answer); });
   }
 }
 
-void leave_recorder::on_read(const store_answer& answer) {
+void peer_leave_writer::on_read(const store_answer& answer) {
   const auto object = answer.status == 200 ? adapter::parse_object(answer.body) : std::nullopt;
   if (!object && answer.status != 404) {
     finish(false);
@@ -60,11 +60,11 @@
                 call_timeout, [this](const store_answer& it) { on_written(it); });
 }
 
-void leave_recorder::on_written(const store_answer& answer) {
+void peer_leave_writer::on_written(const store_answer& answer) {
   finish(answer.status == 200 || answer.status == 201);
 }
 
-void leave_recorder::finish(bool recorded) {
+void peer_leave_writer::finish(bool recorded) {
   const entry ended = std::move(entries_.front());
   entries_.pop_front();
   counters_.store_call(recorded ? "peer_leave_written" : "failed");
--- a/source/sidecar/leave_recorder.h
+++ b/source/sidecar/peer_leave_writer.h
@@ -16,16 +16,17 @@
 
 namespace damaskledge::sidecar {
 
-class leave_recorder {
+class peer_leave_writer {
  public:
-  leave_recorder(event::loop& loop, const endpoint& store, event_log& log, instruments& counters);
+  peer_leave_writer(event::loop& loop, const endpoint& store, event_log& log,
+                    instruments& counters);
 
   /// Writes the record of another node, unless the store has a later one. There is one attempt: the
   /// other node asks again, and asks others, too.
   /// @param node name of the other node and of its object in the store.
   /// @param done runs once the store holds the record, and not at all otherwise.
-  void record(const std::string& node, const adapter::leave_record& record,
-              std::function<void()> done);
+  void write(const std::string& node, const adapter::leave_record& record,
+             std::function<void()> done);
 
  private:
   struct entry {
--- a/tests/sidecar/agent_test.cpp
+++ b/tests/sidecar/agent_test.cpp
@@ -344,6 +344,22 @@
   CHECK(runs == 1);
 }
 
+TEST_CASE_FIXTURE(fleet_fixture, "An answer with status 000 does not reach the caller") {
+  configure();
+  REQUIRE(settle());
+  for (std::size_t i : {2U, 3U}) {
+    vms[i]->target.on_request = [this, i](sidecar::request_handle from, const http::request& it) {
+      const std::string head = test::answer_head(*it.fields.find("X-Request-Id"));
+      vms[i]->target.respond(from, "HTTP/1.1 000 Trouble" + head.substr(head.find("\r\n")), "seen");
+    };
+  }
+  for (const auto* method : {"GET", "POST"}) {
+    const auto answer = call(0, method, method == std::string("GET") ? "/read/x" : "/write/x");
+    CHECK(answer.status == 502);
+    CHECK(answer.body.find("seen") == std::string::npos);
+  }
+}
+
 TEST_CASE_FIXTURE(fleet_fixture, "A repeatable request is served by another target") {
   configure();
   REQUIRE(settle());
