--- a/source/sidecar/leave_records.cpp
+++ b/source/sidecar/leave_records.cpp
@@ -62,15 +62,15 @@
     }
   });
   if (!std::exchange(asking_, true)) {
-    timers_.after(peer_interval, [this] { ask_peers(); });
+    timers_.after(peer_interval, [this] { ask_peers_while_waiting(); });
   }
 }
 
-void leave_records::ask_peers() {
+void leave_records::ask_peers_while_waiting() {
   asking_ = !waiting_.empty();
   if (asking_) {
     ask_peers_(*record_);
-    timers_.after(peer_interval, [this] { ask_peers(); });
+    timers_.after(peer_interval, [this] { ask_peers_while_waiting(); });
   }
 }
 
--- a/source/sidecar/leave_records.h
+++ b/source/sidecar/leave_records.h
@@ -58,8 +58,8 @@
   void call_succeeded();
   void retry_later(std::string_view call, int status);
   void run_waiting();
-  /// Asks other nodes again and again while somebody waits for the record.
-  void ask_peers();
+  /// Asks other nodes at an interval until the record is written or nobody waits for it.
+  void ask_peers_while_waiting();
 
   event::timer_group timers_;
   store_channel channel_;
--- a/tests/sidecar/agent_test.cpp
+++ b/tests/sidecar/agent_test.cpp
@@ -160,6 +160,17 @@
     return served(at) != before;
   }
 
+  /// Checks that a target that may have left is used once it shows that it serves.
+  void check_used_once_shown() {
+    SUBCASE("the health check passes again") {
+      vms[2]->healthy = true;
+    }
+    SUBCASE("the announcements go on") {
+      CHECK(announce(2, "ready", 2) == 200);
+    }
+    CHECK(used_within(2, milliseconds(2'000)));
+  }
+
   event::loop loop;
   test::store_stand_in store{loop, {"127.0.0.1", store_port}};
   std::vector<std::unique_ptr<vm>> vms;
@@ -353,8 +364,7 @@
       vms[i]->target.respond(from, "HTTP/1.1 000 Trouble" + head.substr(head.find("\r\n")), "seen");
     };
   }
-  for (const auto* method : {"GET", "POST"}) {
-    const auto answer = call(0, method, method == std::string("GET") ? "/read/x" : "/write/x");
+  for (const auto& answer : {call(0, "GET", "/read/x"), call(0, "POST", "/write/x")}) {
     CHECK(answer.status == 502);
     CHECK(answer.body.find("seen") == std::string::npos);
   }
@@ -507,13 +517,7 @@
   CHECK_FALSE(used_within(2, milliseconds(300)));
   CHECK(announce(2, "ready", 1) == 200);
   CHECK_FALSE(used_within(2, milliseconds(1'200)));
-  SUBCASE("the health check passes again") {
-    vms[2]->healthy = true;
-  }
-  SUBCASE("the announcements go on") {
-    CHECK(announce(2, "ready", 2) == 200);
-  }
-  CHECK(used_within(2, milliseconds(2'000)));
+  check_used_once_shown();
 }
 
 // Guards against a restarted node that believes a late announcement, or none, while the store is
@@ -547,13 +551,7 @@
   CHECK_FALSE(used_within(2, milliseconds(1'200)));
   CHECK(announce(2, "ready", 1) == 200);
   CHECK_FALSE(used_within(2, milliseconds(1'200)));
-  SUBCASE("the health check passes again") {
-    vms[2]->healthy = true;
-  }
-  SUBCASE("the announcements go on") {
-    CHECK(announce(2, "ready", 2) == 200);
-  }
-  CHECK(used_within(2, milliseconds(2'000)));
+  check_used_once_shown();
 }
 
 TEST_CASE_FIXTURE(fleet_fixture,
