--- a/review/stand_ins_3/rig.h
+++ b/review/stand_ins_3/rig.h
@@ -31,6 +31,7 @@
 #include <mutex>
 #include <optional>
 #include <random>
+#include <set>
 #include <sstream>
 #include <string>
 #include <thread>
@@ -259,6 +260,16 @@
     std::thread([this] { accept(); }).detach();
   }
   const address& at() const { return at_; }
+  /// Ends as a process that crashes: no port listens, and all connections are gone.
+  void crash() {
+    const std::lock_guard hold(mutex_);
+    crashed_ = true;
+    ::shutdown(fd_, SHUT_RDWR);
+    ::close(fd_);
+    for (const int it : open_) {
+      ::shutdown(it, SHUT_RDWR);
+    }
+  }
 
  private:
   void accept() {
@@ -269,12 +280,26 @@
       }
       const int on = 1;
       ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+      {
+        const std::lock_guard hold(mutex_);
+        if (crashed_) {
+          ::close(fd);
+          return;
+        }
+        open_.insert(fd);
+      }
       std::thread([this, fd] {
         connection it(fd);
         serve_(it);
+        const std::lock_guard hold(mutex_);
+        open_.erase(fd);
+        it.close();
       }).detach();
     }
   }
+  std::mutex mutex_;
+  bool crashed_ = false;
+  std::set<int> open_;
   address at_;
   handler serve_;
   int fd_ = -1;
@@ -469,6 +494,7 @@
   const address& control() const { return control_; }
   const node_options& options() const { return options_; }
   const std::string& name() const { return options_.name; }
+  pid_t pid() const { return pid_; }
 
   void start() {
     write_settings();
@@ -642,6 +668,8 @@
     std::string service;
     std::string zone = "zone-a";
     std::string ip;
+    /// 0 for a free one.
+    int port = 0;
     int slots = 20;
     int work_ms = 50;
     std::size_t body_bytes = 600;
@@ -649,11 +677,16 @@
 
   explicit target(options value)
       : options_(std::move(value)), born_(unix_ms()),
-        server_({options_.ip, 0}, [this](connection& it) { serve(it); }) {}
+        server_({options_.ip, options_.port}, [this](connection& it) { serve(it); }) {}
   const address& at() const { return server_.at(); }
   const options& values() const { return options_; }
   std::int64_t born() const { return born_; }
 
+  void crash() {
+    record("%s: crashes", options_.id.c_str());
+    beating = false;
+    server_.crash();
+  }
   /// Sends a heartbeat now. @return status of the answer, 0 for none within 1 s.
   int beat(const address& control, const std::string& state) {
     const json body = {{"address", at().text()},
