--- a/review/stand_ins_3/late_beat.cpp
+++ b/review/stand_ins_3/late_beat.cpp
@@ -21,18 +21,25 @@
 
   const std::string ip_1 = node_ip();
   const std::string ip_2 = node_ip();
+  const std::string ip_3 = node_ip();
   auto before = std::make_unique<target>(target::options{.id = "i-depot", .service = "depot", .ip = ip_1});
   const address app = before->at();
   target other({.id = "i-other", .service = "depot", .ip = ip_2});
+  target third_target({.id = "i-third", .service = "depot", .ip = ip_3});
   node first({.name = "sidecar-1", .service = "depot", .ip = ip_1, .app = app, .store = platform.at()});
   node second({.name = "sidecar-2", .service = "depot", .ip = ip_2, .app = other.at(),
                .store = platform.at()});
+  node third({.name = "sidecar-3", .service = "depot", .ip = ip_3, .app = third_target.at(),
+              .store = platform.at()});
   first.start();
   second.start();
+  third.start();
   first.await_ready();
   second.await_ready();
+  third.await_ready();
   before->beat_always(first.control());
   other.beat_always(second.control());
+  third_target.beat_always(third.control());
   sleep_ms(4'000);
 
   std::atomic<bool> stop{false};
